--- a/src/cinderway/_cli/_main.py
+++ b/src/cinderway/_cli/_main.py
@@ -12,7 +12,12 @@
 from cinderway._cli._table import table
 from cinderway._errors import CinderwayError
 from cinderway._ids import Address
-from cinderway._settings import EntrySettings, ReplicaSettings
+from cinderway._settings import (
+    CatalogControlSettings,
+    CatalogEntrySettings,
+    EntrySettings,
+    ReplicaSettings,
+)
 
 app = typer.Typer(
     help="A proxy fleet for backend servers whose failures are gray.",
@@ -46,6 +51,24 @@
     _run(run_control, settings)
 
 
+@app.command()
+@with_settings(CatalogEntrySettings)
+def catalog_entry(settings: CatalogEntrySettings) -> None:
+    """Run an entry that serves callers by the service catalog."""
+    from cinderway.entry import run_catalog_entry
+
+    _run(run_catalog_entry, settings)
+
+
+@app.command()
+@with_settings(CatalogControlSettings)
+def catalog_control(settings: CatalogControlSettings) -> None:
+    """Run a control replica that keeps the service catalog."""
+    from cinderway.control import run_catalog_control
+
+    _run(run_catalog_control, settings)
+
+
 @app.command()
 @with_settings(ReplicaSettings)
 def ledger(settings: ReplicaSettings) -> None:
--- a/src/cinderway/_cli/_options.py
+++ b/src/cinderway/_cli/_options.py
@@ -15,6 +15,7 @@
     flag_of,
     parse_settings,
     settings_of,
+    with_settings_file,
 )
 
 EXIT_FAILED = 1
@@ -38,7 +39,7 @@
         def command(**given: Any) -> None:
             texts = {name: given.pop(name) for name in settings_of(kind)}
             with exit_on_error():
-                function(parse_settings(kind, texts), **given)
+                function(parse_settings(kind, with_settings_file(texts)), **given)
 
         own = list(inspect.signature(function).parameters.values())[1:]
         own = [p.replace(kind=inspect.Parameter.KEYWORD_ONLY) for p in own]
--- a/src/cinderway/_cli/_report.py
+++ b/src/cinderway/_cli/_report.py
@@ -5,7 +5,6 @@
 from typing import Annotated
 
 import anyio
-import pygal
 import typer
 
 from cinderway._cli._operator import OPERATOR_NAME
@@ -102,6 +101,9 @@
 
 
 def _draw(rates: dict[str, dict[int, tuple]], path: Path) -> None:
+    # Here only: daemons load this module for their command line and never plot.
+    import pygal
+
     chart = pygal.Bar(title="Error budget used, times the allowed rate")
     chart.x_labels = [WINDOW_NAMES[window_s] for window_s in WINDOWS_S]
     for service, by_window in rates.items():
--- a/src/cinderway/_daemon.py
+++ b/src/cinderway/_daemon.py
@@ -7,6 +7,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from cinderway import __version__
 from cinderway._ids import Address
 from cinderway._logging import configure_logging
 from cinderway._operators import Gauges, serve_operators
@@ -31,6 +32,11 @@
             return
 
 
+def log_start(log: logging.Logger, role: str, address: Address) -> None:
+    """Write the line that begins a process's log."""
+    log.info("%s %s starts at %s", role, __version__, address)
+
+
 async def keep_running(name: str, run: Callable[[], Awaitable[None]]) -> None:
     """Run a controller again if it fails in an unforeseen way.
 
--- a/src/cinderway/_operators.py
+++ b/src/cinderway/_operators.py
@@ -3,14 +3,16 @@
 from collections.abc import Callable
 
 import anyio
-import uvicorn
-from aioprometheus import Counter, Gauge, Registry, render
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
 from anyio.abc import TaskStatus
 
+from cinderway._http_server import serve_http
 from cinderway._ids import Address
 from cinderway.wire import traffic
 
 METRIC_PREFIX = "cinderway_"
+# From a quick look-up to a caller's whole deadline.
+BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 1.5, 2.5, 4.0, 6.0)
 OK = 200
 UNAVAILABLE = 503
 NOT_FOUND = 404
@@ -25,6 +27,7 @@
         self.registry = Registry()
         self._counters: dict[str, Counter] = {}
         self._gauges: dict[str, Gauge] = {}
+        self._histograms: dict[str, Histogram] = {}
 
     def count(self, name: str, labels: dict[str, str], amount: float = 1) -> None:
         """Add to a counter."""
@@ -35,6 +38,16 @@
             self.registry.register(counter)
         counter.add(labels, amount)
 
+    def observe(self, name: str, value: float, labels: dict[str, str]) -> None:
+        """Note a value in a histogram."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            help_text = name.replace("_", " ")
+            histogram = Histogram(METRIC_PREFIX + name, help_text, buckets=BUCKETS_S)
+            self._histograms[name] = histogram
+            self.registry.register(histogram)
+        histogram.add(labels, value)
+
     def set_gauge(self, name: str, value: float, labels: dict[str, str]) -> None:
         """Set a gauge."""
         gauge = self._gauges.get(name)
@@ -45,22 +58,6 @@
         gauge.set(labels, value)
 
 
-class QuietServer(uvicorn.Server):
-    """A uvicorn server that leaves signals to the daemon around it."""
-
-    def capture_signals(self):
-        """Handle no signals."""
-        return _nothing()
-
-
-class _nothing:
-    def __enter__(self):
-        return None
-
-    def __exit__(self, *exc_info):
-        return None
-
-
 async def serve_operators(
     address: Address,
     gauges: Gauges,
@@ -90,21 +87,7 @@
             case _:
                 await _respond(send, NOT_FOUND, b"not found\n")
 
-    host, _, port = address.rpartition(":")
-    config = uvicorn.Config(
-        app,
-        host=host.strip("[]"),
-        port=int(port),
-        lifespan="off",
-        log_config=None,
-        access_log=False,
-    )
-    server = QuietServer(config)
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(server.serve)
-        while not server.started:
-            await anyio.sleep(0.01)
-        task_status.started()
+    await serve_http(address, app, task_status=task_status)
 
 
 def _traffic_gauges() -> dict[str, float]:
--- a/src/cinderway/_settings.py
+++ b/src/cinderway/_settings.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import re
+import tomllib
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -13,6 +14,7 @@
 
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import Address, DataHall, EntryName
+from cinderway.table import Bias
 
 ENVIRONMENT_PREFIX = "CINDERWAY_"
 SHARED_KEY_MIN_CHARACTERS = 16
@@ -70,12 +72,48 @@
             raise _invalid(name, "nothing", declared.allowed)
         try:
             values[name] = declared.parse(text)
-        except ValueError:
+        except (ValueError, KeyError):
             shown = "a value" if "key" in name else repr(text)
             raise _invalid(name, shown, declared.allowed) from None
     return kind(**values)
 
 
+def with_settings_file(given: dict[str, str | None]) -> dict[str, str | None]:
+    """Return the texts given, completed from the settings file that they name.
+
+    Flags and environment variables go before the file. Raises CinderwayError with
+    SETTING_INVALID when the file cannot be read as TOML.
+    """
+    path = given.get("settings_file")
+    if not path:
+        return given
+    texts = read_settings_file(Path(path))
+    return {name: text or texts.get(name) for name, text in given.items()}
+
+
+def read_settings_file(path: Path) -> dict[str, str]:
+    """Return a settings file's values as texts; a list's parts joined by commas."""
+    try:
+        content = tomllib.loads(path.read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise CinderwayError(
+            ErrorCode.SETTING_INVALID,
+            f"the settings file {path} cannot be read: {error}",
+            step=Step.START,
+        ) from error
+    return {name: _text_of(value) for name, value in content.items()}
+
+
+def _text_of(value: Any) -> str:
+    match value:
+        case bool():
+            return str(value).lower()
+        case list():
+            return ",".join(_text_of(part) for part in value)
+        case _:
+            return str(value)
+
+
 def _invalid(name: str, given: str, allowed: str) -> CinderwayError:
     return CinderwayError(
         ErrorCode.SETTING_INVALID,
@@ -269,6 +307,159 @@
     log_level: str = _log_level()
 
 
+def _settings_file() -> Any:
+    return setting(
+        str,
+        "a TOML file's path, or nothing",
+        "File with further settings by name; it may change while the process runs.",
+        "",
+    )
+
+
+def _seeds() -> Any:
+    return setting(
+        _parse_some_addresses,
+        f"comma-separated {ADDRESS_FORM}, at least one",
+        "HTTP addresses of some catalog control replicas, the same order everywhere.",
+    )
+
+
+def _parse_some_addresses(text: str) -> tuple[Address, ...]:
+    addresses = _parse_addresses(text)
+    if not addresses:
+        raise ValueError(text)
+    return addresses
+
+
+def _parse_flag(text: str) -> bool:
+    return {"true": True, "false": False}[_one_of("true", "false")(text.lower())]
+
+
+def _header(help: str, default: str) -> Any:
+    return setting(_parse_header, "a header's name, or nothing", help, default)
+
+
+def _parse_header(text: str) -> bytes:
+    return _parse_name(text).lower().encode() if text else b""
+
+
+@dataclass(frozen=True, kw_only=True)
+class CatalogControlSettings:
+    """Settings of a control replica that keeps the service catalog."""
+
+    settings_file: str = _settings_file()
+    data_hall: DataHall = setting(
+        _parse_name, "1 to 63 of A-Z a-z 0-9 . _ -", "Data hall that it stands in."
+    )
+    listen: Address = _listen()
+    http_listen: Address = setting(
+        _parse_address,
+        ADDRESS_FORM,
+        "Where operators and backend servers make their calls.",
+    )
+    seeds: tuple[Address, ...] = _seeds()
+    is_first_start: bool = setting(
+        _parse_flag,
+        "true | false",
+        "Whether the fleet starts for the first time ever: the first seed founds.",
+        "false",
+    )
+    tolerated_losses: int = setting(
+        _integer(0, 7),
+        "0 to 7 replicas",
+        "Replicas that may lose their disks at once; twice that and one must vote.",
+        "1",
+    )
+    bias: Bias = setting(
+        lambda text: Bias(text),
+        "detect-soon | balanced | eject-rarely",
+        "Which mistake detection should rather make.",
+        "balanced",
+    )
+    floor_percent: int = setting(
+        _integer(0, 100),
+        "0 to 100 % of slots",
+        "Ejection leaves a service at least this share of its slots.",
+        "70",
+    )
+    data_folder: Path = setting(Path, "a folder's path", "Where state is kept.")
+    shared_key: bytes = _shared_key()
+    operators_listen: Address = _operators()
+    log_format: str = _log_format()
+    log_level: str = _log_level()
+
+
+@dataclass(frozen=True, kw_only=True)
+class CatalogEntrySettings:
+    """Settings of an entry that serves by the service catalog."""
+
+    settings_file: str = _settings_file()
+    name: EntryName = setting(
+        _parse_name, "1 to 63 of A-Z a-z 0-9 . _ -", "Name of this entry in the fleet."
+    )
+    data_hall: DataHall = setting(
+        _parse_name, "1 to 63 of A-Z a-z 0-9 . _ -", "Data hall that it stands in."
+    )
+    callers_listen: Address = setting(
+        _parse_address, ADDRESS_FORM, "Where callers' HTTP requests are taken."
+    )
+    seeds: tuple[Address, ...] = _seeds()
+    control_port: int = setting(
+        _integer(1, 65_535),
+        "1 to 65535",
+        "Port at which control replicas talk to the fleet's own processes.",
+    )
+    shared_key: bytes = _shared_key()
+    operators_listen: Address = _operators()
+    drain_ms: int = setting(
+        _integer(0, 600_000),
+        "0 to 600000 ms",
+        "How long a stopping entry goes on accepting while the balancer's list lags.",
+        "2500",
+    )
+    stop_limit_ms: int = setting(
+        _integer(100, 3_600_000),
+        "100 to 3600000 ms",
+        "A stopping entry ends by then, whatever still runs.",
+        "60000",
+    )
+    retry_percent: int = setting(
+        _integer(0, 100),
+        "0 to 100 % of a service's requests",
+        "Second tries and hedges of this entry never add more than this share.",
+        "10",
+    )
+    retry_burst: float = setting(
+        float,
+        "a number of requests",
+        "Second tries that a service may get at once, beyond that share.",
+        "3",
+    )
+    attempt_header: bytes = _header(
+        "Header by which callers name a try; answers must carry it back.",
+        "cinderway-attempt",
+    )
+    deadline_header: bytes = _header(
+        "Header that carries the milliseconds left.", "cinderway-deadline-ms"
+    )
+    expected_header: bytes = _header(
+        "Header that names the server a request is meant for.", "cinderway-expected"
+    )
+    not_run_header: bytes = _header(
+        "Header by which a server says that it did not run a request.",
+        "cinderway-not-run",
+    )
+    load_header: bytes = _header(
+        "Header in which a server tells requests running, waiting and slots.",
+        "cinderway-load",
+    )
+    seal_header: bytes = _header(
+        "Header that every successful answer of a server carries, if any.", ""
+    )
+    log_format: str = _log_format()
+    log_level: str = _log_level()
+
+
 @dataclass(frozen=True, kw_only=True)
 class OperatorSettings:
     """Settings of the operators' commands."""
--- /dev/null
+++ b/src/cinderway/catalog/_commands.py
@@ -0,0 +1,51 @@
+"""The commands that control replicates to change the catalog."""
+
+import msgspec
+
+from cinderway._ids import Address, DataHall, ServerName
+from cinderway.catalog._registry import RegisteredServer
+
+
+class InstallSheet(msgspec.Struct, frozen=True, tag="sheet"):
+    """Put a route sheet in force, unless its version does not exceed the one held.
+
+    `body` is a checked sheet as its operator sent it.
+    """
+
+    body: bytes
+
+
+class Register(msgspec.Struct, frozen=True, tag="register"):
+    """Take a backend server's heartbeat that says something new."""
+
+    server: RegisteredServer
+
+
+class Deregister(msgspec.Struct, frozen=True, tag="deregister"):
+    """Take a backend server out for good."""
+
+    server_id: ServerName
+
+
+class AnnounceReplica(msgspec.Struct, frozen=True, tag="replica"):
+    """Tell the fleet which data hall a control replica stands in."""
+
+    address: Address
+    data_hall: DataHall
+    operators_address: Address
+
+
+Command = InstallSheet | Register | Deregister | AnnounceReplica
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Command)
+
+
+def encode_command(command: Command) -> bytes:
+    """Return the bytes that go into the replicated log."""
+    return _encoder.encode(command)
+
+
+def decode_command(data: bytes) -> Command:
+    """Return the command that `encode_command` gave these bytes for."""
+    return _decoder.decode(data)
--- /dev/null
+++ b/src/cinderway/catalog/_conversation.py
@@ -0,0 +1,122 @@
+"""What entries and control replicas say to each other about the catalog.
+
+An entry keeps one connection to one replica, in its own data hall if there is one.
+Nothing is said while nothing changes, but for a small heartbeat that tells how old the
+replica's own knowledge is.
+"""
+
+from cinderway._ids import Address, DataHall, EntryName, ServerName, ServiceName
+from cinderway.wire import Conversation, Done, Failure, Message
+
+
+class ReplicaAddress(Message, frozen=True):
+    """A control replica's address and the data hall that it stands in."""
+
+    address: Address
+    data_hall: DataHall
+
+
+class FindReplicas(Message, frozen=True):
+    """Ask where control replicas are."""
+
+
+class ReplicasAnswer(Message, frozen=True):
+    """All control replicas that announced themselves."""
+
+    replicas: list[ReplicaAddress]
+
+
+class FollowCatalog(Message, frozen=True):
+    """Ask for the catalog beyond a revision, and for all changes from then on."""
+
+    entry: EntryName
+    data_hall: DataHall
+    known_revision: int
+
+
+class CatalogUpdate(Message, frozen=True):
+    """What changed between two revisions.
+
+    `sheet` is the whole route sheet where it changed, else empty; `servers` are the
+    registered servers that changed, encoded as MessagePack.
+    """
+
+    base_revision: int
+    revision: int
+    sheet: bytes
+    servers: bytes
+    gone: list[ServerName]
+
+
+class CatalogHeartbeat(Message, frozen=True):
+    """A replica's word that it is there.
+
+    `leader_age_ms` is how long ago it last heard from a leader of the group: what it
+    hands out is at most that old. `entries` is how many entries follow it.
+    """
+
+    leader_age_ms: int
+    revision: int
+    entries: int
+
+
+class EvidenceBatch(Message, frozen=True):
+    """One entry's observations of backend servers, encoded as MessagePack."""
+
+    entry: EntryName
+    data_hall: DataHall
+    servers: bytes
+
+
+class VerdictLine(Message, frozen=True):
+    """What a replica judges of one server from its entries' observations."""
+
+    service: ServiceName
+    server: ServerName
+    is_ejected: bool
+    share: float
+    reason: str
+    score: float
+
+
+class VerdictBatch(Message, frozen=True):
+    """All servers that are not plainly healthy, and the services' usual times.
+
+    It holds until the next batch or until the conversation ends.
+    """
+
+    lines: list[VerdictLine]
+    normal_ms: list[float]
+    services: list[ServiceName]
+
+
+class SuspectServers(Message, frozen=True):
+    """Servers that have just failed a request, and for how long to avoid each."""
+
+    servers: list[ServerName]
+    for_ms: list[int]
+
+
+class SubmitCommand(Message, frozen=True):
+    """One replica asks the leader to replicate a command for it."""
+
+    data: bytes
+
+
+CATALOG = Conversation(
+    "catalog",
+    1,
+    (
+        FindReplicas,
+        ReplicasAnswer,
+        FollowCatalog,
+        CatalogUpdate,
+        CatalogHeartbeat,
+        EvidenceBatch,
+        VerdictBatch,
+        SuspectServers,
+        SubmitCommand,
+        Done,
+        Failure,
+    ),
+)
--- /dev/null
+++ b/src/cinderway/catalog/_machine.py
@@ -0,0 +1,133 @@
+"""The replicated state machine of the catalog.
+
+Its revision is the log index of the newest command that changed anything, so two
+replicas at one revision hold the same catalog, and revisions never go back.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from cinderway._ids import Address, ServerName
+from cinderway.catalog._commands import (
+    AnnounceReplica,
+    Deregister,
+    InstallSheet,
+    Register,
+    decode_command,
+)
+from cinderway.catalog._conversation import CatalogUpdate, ReplicaAddress
+from cinderway.catalog._registry import RegisteredServer, Registry, RegistryChange
+from cinderway.catalog._sheet import RouteSheet, decode_sheet
+
+
+class Installed(msgspec.Struct, frozen=True):
+    """What a sheet's installation came to: the version now in force."""
+
+    version: int
+    is_changed: bool
+
+
+class _State(msgspec.Struct):
+    """A snapshot of the machine."""
+
+    revision: int
+    sheet_revision: int
+    sheet_body: bytes
+    servers: list[RegisteredServer]
+    server_revisions: dict[ServerName, int]
+    gone: list[tuple[ServerName, int]]
+    replicas: list[AnnounceReplica]
+
+
+class CatalogMachine:
+    """Applies commands; knows what changed since any revision."""
+
+    def __init__(self):
+        self.revision = 0
+        self.sheet: RouteSheet | None = None
+        self.sheet_body = b""
+        self.registry = Registry()
+        self.replicas: dict[Address, AnnounceReplica] = {}
+        self._sheet_revision = 0
+        self._server_revisions: dict[ServerName, int] = {}
+
+    def apply(self, index: int, data: bytes) -> Installed | RegistryChange | None:
+        """Carry out a committed command."""
+        match decode_command(data):
+            case InstallSheet(body=body):
+                return self._install(index, body)
+            case Register(server=server):
+                return self._note(index, self.registry.register(server, index))
+            case Deregister(server_id=server_id):
+                return self._note(index, self.registry.deregister(server_id, index))
+            case AnnounceReplica() as replica:
+                self.replicas[replica.address] = replica
+                return None
+
+    def freeze(self) -> Callable[[], bytes]:
+        """Return what encodes the state as of now, later and in another thread."""
+        state = _State(
+            self.revision,
+            self._sheet_revision,
+            self.sheet_body,
+            list(self.registry.servers.values()),
+            dict(self._server_revisions),
+            list(self.registry.gone.items()),
+            list(self.replicas.values()),
+        )
+        return lambda: msgspec.msgpack.encode(state)
+
+    def restore(self, data: bytes) -> None:
+        """Take over an encoded state; b"" is the first one."""
+        if not data:
+            return
+        state = msgspec.msgpack.decode(data, type=_State)
+        self.revision = state.revision
+        self._sheet_revision = state.sheet_revision
+        self.sheet_body = state.sheet_body
+        self.sheet = decode_sheet(state.sheet_body) if state.sheet_body else None
+        self.registry.restore(state.servers, state.gone)
+        self._server_revisions = state.server_revisions
+        self.replicas = {replica.address: replica for replica in state.replicas}
+
+    def update_since(self, revision: int) -> CatalogUpdate:
+        """Return what one who knows the catalog at a revision lacks."""
+        changed = [
+            server
+            for server_id, server in self.registry.servers.items()
+            if self._server_revisions[server_id] > revision
+        ]
+        gone = [name for name, at in self.registry.gone.items() if at > revision]
+        has_sheet = self._sheet_revision > revision
+        return CatalogUpdate(
+            base_revision=revision,
+            revision=self.revision,
+            sheet=self.sheet_body if has_sheet else b"",
+            servers=msgspec.msgpack.encode(changed),
+            gone=gone if revision else [],
+        )
+
+    def replica_addresses(self) -> list[ReplicaAddress]:
+        """Where control replicas are, and in which data halls."""
+        return [
+            ReplicaAddress(replica.address, replica.data_hall)
+            for replica in self.replicas.values()
+        ]
+
+    def _install(self, index: int, body: bytes) -> Installed:
+        sheet = decode_sheet(body)
+        if self.sheet is not None and sheet.version <= self.sheet.version:
+            return Installed(self.sheet.version, is_changed=False)
+        self.sheet, self.sheet_body = sheet, body
+        self.revision = self._sheet_revision = index
+        return Installed(sheet.version, is_changed=True)
+
+    def _note(self, index: int, change: RegistryChange) -> RegistryChange:
+        if not change.is_empty:
+            self.revision = index
+        for server in change.put:
+            self._server_revisions[server.server_id] = index
+        for server_id in change.gone:
+            self._server_revisions.pop(server_id, None)
+        return change
--- /dev/null
+++ b/src/cinderway/catalog/_sheet.py
@@ -0,0 +1,165 @@
+"""The route sheet: one row a route, one a service, and limits on callers.
+
+A sheet is replaced as a whole. It carries the operator's own version; the highest
+version wins. The bytes that the operator sent are kept, so that what is read back is
+what was put.
+"""
+
+from collections import Counter
+from enum import Enum
+
+import msgspec
+
+from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._ids import ServiceName
+
+DEFAULT_HEADER_LIMIT_BYTES = 16 * 1024
+DEFAULT_BODY_LIMIT_BYTES = 64 * 1024 * 1024
+DEFAULT_HEADER_TIMEOUT_MS = 3_000
+DEFAULT_IDLE_TIMEOUT_MS = 15_000
+DEFAULT_CONNECTION_LIMIT = 200
+DEFAULT_SERVER_LIMIT = 2
+
+
+class RouteKind(Enum):
+    """How often a request of a route may run, and how large its answers are."""
+
+    REPEATABLE = "repeatable"
+    ONCE = "once"
+    DOWNLOAD = "download"
+
+
+class _Row(msgspec.Struct, frozen=True, kw_only=True):
+    """Base of all rows. Fields that this version does not know are passed over."""
+
+
+class SplitPart(_Row, frozen=True, kw_only=True):
+    """One of several services that share a route's requests by weight."""
+
+    service: ServiceName
+    weight: float
+
+
+class RouteRow(_Row, frozen=True, kw_only=True):
+    """One route: which requests it takes, where they go and what holds for them.
+
+    Exactly one of `service` and `split` names where requests go. `objective_ms` is the
+    time within which an answer counts as a good one. Priority 0 is the highest.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind = RouteKind.REPEATABLE
+    timeout_ms: int
+    objective_ms: int = 0
+    priority: int = 0
+    service: ServiceName | None = None
+    split: list[SplitPart] | None = None
+    server_limit: int | None = None
+
+    @property
+    def parts(self) -> list[SplitPart]:
+        """The services that get this route's requests, with their weights."""
+        if self.split:
+            return self.split
+        return [SplitPart(service=self.service, weight=1.0)] if self.service else []
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is not RouteKind.ONCE
+
+
+class ServiceEntry(_Row, frozen=True, kw_only=True):
+    """One service that routes may name."""
+
+    name: ServiceName
+    probe_path: str = ""
+    connection_limit: int = DEFAULT_CONNECTION_LIMIT
+
+
+class CallerLimits(_Row, frozen=True, kw_only=True):
+    """What a caller may send, and how long it may take or rest."""
+
+    header_limit_bytes: int = DEFAULT_HEADER_LIMIT_BYTES
+    body_limit_bytes: int = DEFAULT_BODY_LIMIT_BYTES
+    header_timeout_ms: int = DEFAULT_HEADER_TIMEOUT_MS
+    idle_timeout_ms: int = DEFAULT_IDLE_TIMEOUT_MS
+
+
+class RouteSheet(_Row, frozen=True, kw_only=True):
+    """A whole route sheet under its operator's version."""
+
+    version: int
+    routes: list[RouteRow]
+    services: list[ServiceEntry]
+    limits: CallerLimits = CallerLimits()
+
+
+_decoder = msgspec.json.Decoder(RouteSheet, strict=True)
+
+
+def decode_sheet(body: bytes) -> RouteSheet:
+    """Return the checked sheet that JSON bytes hold.
+
+    Raises CinderwayError with SHEET_INVALID that says what was given and allowed.
+    """
+    try:
+        sheet = _decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise _invalid(f"the sheet cannot be read: {error}") from error
+    _check_version(sheet)
+    _check_services(sheet)
+    for route in sheet.routes:
+        _check_route(route, {service.name for service in sheet.services})
+    _check_places(sheet)
+    return sheet
+
+
+def _check_version(sheet: RouteSheet) -> None:
+    if sheet.version < 0:
+        raise _invalid(f"version: given {sheet.version}; allowed: 0 and above")
+
+
+def _check_services(sheet: RouteSheet) -> None:
+    counts = Counter(service.name for service in sheet.services)
+    for name, count in counts.items():
+        if count > 1:
+            raise _invalid(f"service {name!r} stands {count} times; once is allowed")
+
+
+def _check_route(route: RouteRow, services: set[ServiceName]) -> None:
+    if not route.host:
+        raise _invalid(f"route {route.name!r}: the host is empty")
+    if route.timeout_ms <= 0:
+        raise _invalid(
+            f"route {route.name!r}: timeout_ms: given {route.timeout_ms}; "
+            "allowed: above 0"
+        )
+    if not route.parts:
+        raise _invalid(f"route {route.name!r} names no service")
+    for part in route.parts:
+        if part.service not in services:
+            raise _invalid(
+                f"route {route.name!r}: service {part.service!r} is not in the sheet"
+            )
+        if not part.weight >= 0:
+            raise _invalid(
+                f"route {route.name!r}: weight: given {part.weight}; "
+                "allowed: 0 and above"
+            )
+
+
+def _check_places(sheet: RouteSheet) -> None:
+    places = Counter((route.host.lower(), route.path_prefix) for route in sheet.routes)
+    for (host, prefix), count in places.items():
+        if count > 1:
+            raise _invalid(
+                f"{count} routes have host {host!r} and path prefix {prefix!r}; "
+                "one is allowed"
+            )
+
+
+def _invalid(detail: str) -> CinderwayError:
+    return CinderwayError(ErrorCode.SHEET_INVALID, detail, step=Step.CHECK_EDIT)
--- /dev/null
+++ b/src/cinderway/control/_catalog_daemon.py
@@ -0,0 +1,105 @@
+"""The control process that keeps the service catalog."""
+
+import logging
+
+import anyio
+
+from cinderway._daemon import log_start, start_operators, wait_for_stop
+from cinderway._http_server import serve_http
+from cinderway._ids import Address
+from cinderway._logging import configure_logging
+from cinderway._settings import CatalogControlSettings
+from cinderway.catalog import AnnounceReplica, CatalogMachine
+from cinderway.control._catalog_http import CatalogHttp
+from cinderway.control._catalog_service import CatalogService
+from cinderway.control._hall_assessor import HallAssessor, JudgementRules
+from cinderway.replication import DataFolder, Node, NodeSettings, Timing
+from cinderway.wire import Identity, serve_connections
+
+logger = logging.getLogger(__name__)
+
+GROUP = "catalog"
+# Quiet enough for a fleet that pays for each byte between halls, and still a new
+# leader within two seconds: half of what an accepted change may take to be in force.
+TIMING = Timing(heartbeat_ms=250, election_min_ms=900, election_max_ms=1_500)
+TICK_S = 0.05
+
+
+async def run_catalog_control(settings: CatalogControlSettings) -> None:
+    """Run one replica until it is told to stop; leadership is handed over first."""
+    configure_logging(settings.log_format, settings.log_level)
+    log_start(logger, "catalog control", settings.listen)
+    identity = Identity(f"{GROUP}@{settings.listen}", settings.shared_key)
+    machine = CatalogMachine()
+    _found_if_first(settings)
+    folder = DataFolder(settings.data_folder, GROUP, settings.listen)
+    node = Node(folder, machine, _node_settings(settings), identity)
+    own = AnnounceReplica(settings.listen, settings.data_hall, settings.http_listen)
+    rules = JudgementRules(settings.bias, settings.floor_percent)
+    service = CatalogService(
+        node,
+        machine,
+        identity,
+        own,
+        least_voters=2 * settings.tolerated_losses + 1,
+        assessor=HallAssessor(rules),
+    )
+    async with anyio.create_task_group() as tasks:
+        routes = (node.route, service.route)
+        await tasks.start(serve_connections, settings.listen, routes, identity)
+        tasks.start_soon(node.run)
+        tasks.start_soon(service.run)
+        await tasks.start(serve_http, settings.http_listen, CatalogHttp(service))
+        await start_operators(
+            tasks, settings.operators_listen, lambda: _gauges(node, service)
+        )
+        await wait_for_stop()
+        logger.info("stopping")
+        await node.hand_over()
+        tasks.cancel_scope.cancel()
+    folder.close()
+    logger.info("stopped")
+
+
+def _found_if_first(settings: CatalogControlSettings) -> None:
+    """Make the first seed the founder of the group, once, at the fleet's first start.
+
+    All replicas are given the same seeds then, so they agree on who founds. A replica
+    that starts with an empty disk later is told that the fleet was started before.
+    """
+    if not settings.is_first_start or settings.http_listen != settings.seeds[0]:
+        return
+    folder = DataFolder(settings.data_folder, GROUP, settings.listen)
+    if folder.is_new:
+        folder.found(b"")
+        logger.info("founded the group")
+    else:
+        folder.close()
+
+
+def _node_settings(settings: CatalogControlSettings) -> NodeSettings:
+    port = settings.listen.rpartition(":")[2]
+    hosts = [seed.rpartition(":")[0] for seed in settings.seeds]
+    return NodeSettings(
+        address=settings.listen,
+        peers=tuple(Address(f"{host}:{port}") for host in hosts),
+        timing=TIMING,
+        tick_s=TICK_S,
+        wanted_voters=2 * settings.tolerated_losses + 1,
+    )
+
+
+def _gauges(node: Node, service: CatalogService) -> dict[str, float]:
+    core = node.core
+    sheet = service.machine.sheet
+    return {
+        "replica_is_leader": float(core.is_leader),
+        "replica_term": float(core.term),
+        "replica_commit_index": float(core.commit_index),
+        "replica_voters": float(len(core.membership.voters)),
+        "replica_syncs": float(node.counters.syncs),
+        "catalog_revision": float(service.machine.revision),
+        "catalog_servers": float(len(service.machine.registry.servers)),
+        "sheet_version": float(sheet.version if sheet else 0),
+        "entries_following": float(len(service.followers)),
+    }
--- /dev/null
+++ b/src/cinderway/control/_catalog_http.py
@@ -0,0 +1,210 @@
+"""The catalog's HTTP interface, for operators and backend servers.
+
+    PUT    /v1/sheet         replace the route sheet; 200 once it is durable
+    GET    /v1/sheet         the newest sheet, by the leader only; others redirect
+    PUT    /v1/servers/ID    a backend server's heartbeat
+    DELETE /v1/servers/ID    a backend server leaves for good
+
+An answer of 4xx is final; after 503 the call may be repeated here or elsewhere.
+"""
+
+import logging
+from dataclasses import dataclass
+
+import msgspec
+
+from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._ids import Address, DataHall, ServerName, ServiceName
+from cinderway.catalog import (
+    Deregister,
+    InstallSheet,
+    Register,
+    RegisteredServer,
+    ServerStatus,
+    decode_sheet,
+)
+from cinderway.control._catalog_service import CatalogService
+
+logger = logging.getLogger(__name__)
+
+SHEET_PATH = "/v1/sheet"
+SERVERS_PREFIX = "/v1/servers/"
+SHEET_LIMIT_BYTES = 32 * 1024 * 1024
+HEARTBEAT_LIMIT_BYTES = 64 * 1024
+READ_TIMEOUT_S = 0.9
+JSON = b"application/json"
+RETRY_AFTER_S = "0.3"
+
+STATUS_OF_CODE = {
+    ErrorCode.SHEET_INVALID: 400,
+    ErrorCode.HEARTBEAT_INVALID: 400,
+    ErrorCode.REQUEST_TOO_LARGE: 413,
+}
+UNAVAILABLE = 503
+
+
+class Heartbeat(msgspec.Struct, frozen=True):
+    """What a backend server says of itself; its id stands in the path.
+
+    `sequence` grows with each call. Nothing depends on it: within one start a server
+    only ever moves from active to leaving, whatever the order calls arrive in.
+    """
+
+    service: ServiceName
+    address: Address
+    data_hall: DataHall
+    slots: int
+    status: ServerStatus
+    version: str = ""
+    warmup_left_ms: int = 0
+    sequence: int = 0
+
+
+_heartbeat_decoder = msgspec.json.Decoder(Heartbeat, strict=True)
+
+
+@dataclass
+class CatalogHttp:
+    """The ASGI application of one control replica."""
+
+    service: CatalogService
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        call = (scope["method"], scope["path"])
+        try:
+            status, body, headers = await self._answer(call, receive)
+        except CinderwayError as error:
+            status = STATUS_OF_CODE.get(error.code, UNAVAILABLE)
+            body = msgspec.json.encode(
+                {"code": error.code.value, "detail": error.detail}
+            )
+            headers = _retry_after(status)
+            if status != UNAVAILABLE or call[1] == SHEET_PATH:
+                logger.info("%s %s: %d, %s", *call, status, error)
+        await _respond(send, status, body, headers)
+
+    async def _answer(self, call, receive) -> tuple[int, bytes, list]:
+        match call:
+            case ("PUT", path) if path == SHEET_PATH:
+                return await self._put_sheet(receive)
+            case ("GET", path) if path == SHEET_PATH:
+                return await self._get_sheet()
+            case ("PUT", path) if path.startswith(SERVERS_PREFIX):
+                server_id = ServerName(path.removeprefix(SERVERS_PREFIX))
+                return await self._put_server(server_id, receive)
+            case ("DELETE", path) if path.startswith(SERVERS_PREFIX):
+                server_id = ServerName(path.removeprefix(SERVERS_PREFIX))
+                return await self._delete_server(server_id)
+        return 404, b"{}", []
+
+    async def _put_sheet(self, receive) -> tuple[int, bytes, list]:
+        body = await _read_body(receive, SHEET_LIMIT_BYTES)
+        sheet = decode_sheet(body)
+        held = self.service.machine.sheet
+        await self.service.submit(InstallSheet(body))
+        logger.info(
+            "sheet version %d acknowledged; held before: %s",
+            sheet.version,
+            held.version if held else "none",
+        )
+        return 200, b"{}", []
+
+    async def _get_sheet(self) -> tuple[int, bytes, list]:
+        node = self.service.node
+        if not node.core.is_leader:
+            return self._redirect()
+        await node.read_barrier(READ_TIMEOUT_S)
+        if self.service.machine.sheet is None:
+            raise CinderwayError(
+                ErrorCode.TABLE_UNKNOWN, "no sheet was put yet", step=Step.CHECK_EDIT
+            )
+        return 200, self.service.machine.sheet_body, []
+
+    def _redirect(self) -> tuple[int, bytes, list]:
+        leader = self.service.machine.replicas.get(self.service.node.leader_address)
+        if leader is None:
+            raise CinderwayError(
+                ErrorCode.NO_QUORUM, "no leader is known here", step=Step.PROPOSE
+            )
+        location = f"http://{leader.operators_address}{SHEET_PATH}"
+        return 307, b"{}", [(b"location", location.encode())]
+
+    async def _put_server(self, server_id, receive) -> tuple[int, bytes, list]:
+        body = await _read_body(receive, HEARTBEAT_LIMIT_BYTES)
+        server = _server_from(server_id, body)
+        registry = self.service.machine.registry
+        if not registry.change_of(server).is_empty:
+            await self.service.submit(Register(server))
+            logger.info(
+                "backend server %s of %s at %s is %s",
+                server_id,
+                server.service,
+                server.address,
+                server.status.value,
+            )
+        return 200, b"{}", []
+
+    async def _delete_server(self, server_id: ServerName) -> tuple[int, bytes, list]:
+        if server_id not in self.service.machine.registry.gone:
+            await self.service.submit(Deregister(server_id))
+            logger.info("backend server %s is gone", server_id)
+        return 200, b"{}", []
+
+
+def _server_from(server_id: ServerName, body: bytes) -> RegisteredServer:
+    try:
+        said = _heartbeat_decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise CinderwayError(
+            ErrorCode.HEARTBEAT_INVALID,
+            f"the heartbeat cannot be read: {error}",
+            step=Step.RECEIVE,
+            peer=server_id,
+        ) from error
+    return RegisteredServer(
+        server_id,
+        said.service,
+        said.address,
+        said.data_hall,
+        said.slots,
+        said.status,
+        said.version,
+        said.warmup_left_ms,
+    )
+
+
+async def _read_body(receive, limit_bytes: int) -> bytes:
+    parts, size_bytes = [], 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise CinderwayError(
+                ErrorCode.PEER_UNREACHABLE, "the body was cut short", step=Step.RECEIVE
+            )
+        parts.append(message.get("body", b""))
+        size_bytes += len(parts[-1])
+        if size_bytes > limit_bytes:
+            raise CinderwayError(
+                ErrorCode.REQUEST_TOO_LARGE,
+                f"the body is over {limit_bytes} bytes",
+                step=Step.RECEIVE,
+            )
+        if not message.get("more_body"):
+            return b"".join(parts)
+
+
+def _retry_after(status: int) -> list:
+    if status != UNAVAILABLE:
+        return []
+    return [(b"retry-after", RETRY_AFTER_S.encode())]
+
+
+async def _respond(send, status: int, body: bytes, headers: list) -> None:
+    own = [(b"content-type", JSON), (b"content-length", b"%d" % len(body))]
+    await send(
+        {"type": "http.response.start", "status": status, "headers": own + headers}
+    )
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/src/cinderway/control/_catalog_service.py
@@ -0,0 +1,261 @@
+"""Serves the catalog's conversation from one control replica."""
+
+import logging
+from dataclasses import dataclass, field
+
+import anyio
+
+from cinderway._clock import monotonic_ms
+from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._ids import Address, DataHall, EntryName
+from cinderway.catalog import (
+    CATALOG,
+    AnnounceReplica,
+    CatalogHeartbeat,
+    CatalogMachine,
+    Command,
+    EvidenceBatch,
+    FindReplicas,
+    FollowCatalog,
+    ReplicasAnswer,
+    SubmitCommand,
+    SuspectServers,
+    VerdictBatch,
+    encode_command,
+)
+from cinderway.control._hall_assessor import HallAssessor
+from cinderway.replication import Node
+from cinderway.wire import (
+    Connection,
+    Done,
+    Failure,
+    Identity,
+    Message,
+    Route,
+    RpcClient,
+    failure_from,
+)
+
+logger = logging.getLogger(__name__)
+
+# An operator's or server's call waits a second for its answer; then it goes elsewhere.
+PROPOSE_TIMEOUT_S = 2.5
+# Entries change replica after three of these without a sign.
+HEARTBEAT_S = 0.5
+SEND_TIMEOUT_S = 1.0
+ANNOUNCE_PAUSE_S = 0.5
+ASSESS_PAUSE_S = 0.1
+LEADER_AGE_LIMIT_MS = 2**31
+
+
+@dataclass(eq=False)
+class Follower:
+    """One entry that follows the catalog here."""
+
+    entry: EntryName
+    data_hall: DataHall
+    known_revision: int
+    verdicts: VerdictBatch | None = None
+    suspects: list[SuspectServers] = field(default_factory=list)
+    news: anyio.Event = field(default_factory=anyio.Event)
+
+
+@dataclass
+class CatalogService:
+    """Hands out the catalog, takes evidence, and brings commands to the leader."""
+
+    node: Node
+    machine: CatalogMachine
+    identity: Identity
+    own: AnnounceReplica
+    least_voters: int
+    assessor: HallAssessor
+    followers: set[Follower] = field(default_factory=set)
+    _clients: dict[Address, RpcClient] = field(default_factory=dict)
+    _tasks: anyio.abc.TaskGroup | None = None
+
+    @property
+    def route(self) -> Route:
+        """What serves the catalog's connections."""
+        return Route(CATALOG, self._serve)
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            tasks.start_soon(self._announce)
+            tasks.start_soon(self._assess)
+            await self._watch()
+
+    def leader_age_ms(self) -> int:
+        """How old what this replica knows of the group may be."""
+        core = self.node.core
+        if core.is_leader:
+            return 0
+        if core.leader_heard_at_ms is None:
+            return LEADER_AGE_LIMIT_MS
+        age_ms = monotonic_ms() - core.leader_heard_at_ms
+        return min(max(age_ms, 0), LEADER_AGE_LIMIT_MS)
+
+    async def submit(self, command: Command) -> None:
+        """Replicate a command, here or by the leader; return once it is committed.
+
+        Raises CinderwayError; with any code but NOT_LEADER and GROUP_TOO_SMALL the
+        command may still take effect.
+        """
+        data = encode_command(command)
+        if self.node.core.is_leader:
+            await self._propose(data)
+            return
+        leader = self.node.leader_address
+        if leader is None:
+            raise CinderwayError(
+                ErrorCode.NO_QUORUM, "no leader is known here", step=Step.PROPOSE
+            )
+        answer = await self._client_of(leader).call(
+            SubmitCommand(data), PROPOSE_TIMEOUT_S
+        )
+        if isinstance(answer, Failure):
+            raise answer.error(leader)
+
+    async def _propose(self, data: bytes) -> None:
+        # With fewer voters, losing as many disks as the fleet is to bear could lose
+        # what is acknowledged now.
+        voters = len(self.node.core.membership.voters)
+        if voters < self.least_voters:
+            raise CinderwayError(
+                ErrorCode.GROUP_TOO_SMALL,
+                f"{voters} voters; {self.least_voters} are needed",
+                step=Step.PROPOSE,
+            )
+        await self.node.propose(data, PROPOSE_TIMEOUT_S)
+
+    def _client_of(self, address: Address) -> RpcClient:
+        client = self._clients.get(address)
+        if client is None:
+            client = RpcClient(address, CATALOG, self.identity)
+            self._clients[address] = client
+            self._tasks.start_soon(client.run)
+        return client
+
+    # Entries.
+
+    async def _serve(self, connection: Connection, name: str) -> None:
+        async with anyio.create_task_group() as tasks:
+            try:
+                while True:
+                    envelope = await connection.receive()
+                    match envelope.message:
+                        case FollowCatalog() as request:
+                            tasks.start_soon(self._feed, connection, request)
+                        case EvidenceBatch() as batch:
+                            self._take(batch)
+                        case message:
+                            tasks.start_soon(
+                                self._answer, connection, envelope.call_id, message
+                            )
+            except CinderwayError as error:
+                logger.debug("a conversation with %s ended: %s", name, error)
+                tasks.cancel_scope.cancel()
+
+    def _take(self, batch: EvidenceBatch) -> None:
+        now_ms = monotonic_ms()
+        self.assessor.take(batch, now_ms)
+        suspects = self.assessor.new_suspects(now_ms)
+        if suspects is None:
+            return
+        # The entry that saw them fail avoids them already.
+        for follower in self.followers:
+            if follower.entry != batch.entry:
+                follower.suspects.append(suspects)
+                follower.news.set()
+
+    async def _answer(
+        self, connection: Connection, call_id: int, message: Message
+    ) -> None:
+        try:
+            await connection.send(await self._handle(message), call_id)
+        except CinderwayError as error:
+            logger.debug("an answer was not sent: %s", error)
+            await connection.aclose()
+
+    async def _handle(self, message: Message) -> Message:
+        try:
+            match message:
+                case FindReplicas():
+                    return ReplicasAnswer(self.machine.replica_addresses())
+                case SubmitCommand(data=data):
+                    await self._propose(data)
+                    return Done()
+        except CinderwayError as error:
+            return failure_from(error, self.node.leader_address)
+        raise AssertionError(f"no answer for {type(message).__name__}")
+
+    async def _feed(self, connection: Connection, request: FollowCatalog) -> None:
+        follower = Follower(request.entry, request.data_hall, request.known_revision)
+        self.followers.add(follower)
+        sent_verdicts: VerdictBatch | None = None
+        heartbeat_at_ms = monotonic_ms()
+        logger.info(
+            "entry %s follows from revision %d", request.entry, request.known_revision
+        )
+        try:
+            while True:
+                follower.news = anyio.Event()
+                if self.machine.revision > follower.known_revision:
+                    update = self.machine.update_since(follower.known_revision)
+                    await self._send(connection, update)
+                    follower.known_revision = update.revision
+                while follower.suspects:
+                    await self._send(connection, follower.suspects.pop(0))
+                if follower.verdicts != sent_verdicts:
+                    sent_verdicts = follower.verdicts
+                    await self._send(connection, sent_verdicts)
+                if monotonic_ms() >= heartbeat_at_ms:
+                    await self._send(connection, self._heartbeat())
+                    heartbeat_at_ms = monotonic_ms() + round(HEARTBEAT_S * 1000)
+                with anyio.move_on_after(HEARTBEAT_S):
+                    await follower.news.wait()
+        except (CinderwayError, TimeoutError) as error:
+            logger.info("entry %s no longer follows: %s", request.entry, error)
+            await connection.aclose()
+        finally:
+            self.followers.discard(follower)
+
+    async def _send(self, connection: Connection, message: Message) -> None:
+        with anyio.fail_after(SEND_TIMEOUT_S):
+            await connection.send(message)
+
+    def _heartbeat(self) -> CatalogHeartbeat:
+        return CatalogHeartbeat(
+            self.leader_age_ms(), self.machine.revision, len(self.followers)
+        )
+
+    async def _watch(self) -> None:
+        while True:
+            await self.node.wait_applied()
+            for follower in self.followers:
+                follower.news.set()
+
+    async def _assess(self) -> None:
+        while True:
+            await anyio.sleep(ASSESS_PAUSE_S)
+            if not self.assessor.has_news(monotonic_ms()):
+                continue
+            views = self.assessor.decide(self.machine, monotonic_ms())
+            for follower in self.followers:
+                verdicts = views.get(follower.data_hall)
+                if verdicts is not None and verdicts != follower.verdicts:
+                    follower.verdicts = verdicts
+                    follower.news.set()
+
+    async def _announce(self) -> None:
+        """Tell the fleet where this replica is, once it is a member of the group."""
+        while self.machine.replicas.get(self.own.address) != self.own:
+            await anyio.sleep(ANNOUNCE_PAUSE_S)
+            if self.node.core.replica_id not in self.node.core.membership.voters:
+                continue
+            try:
+                await self.submit(self.own)
+            except CinderwayError as error:
+                logger.debug("not announced yet: %s", error)
--- /dev/null
+++ b/src/cinderway/control/_hall_assessor.py
@@ -0,0 +1,197 @@
+"""Judge backend servers from the observations of the entries that follow here.
+
+Entries follow a replica of their own data hall, so what is judged here is how servers
+look from this hall, and evidence never crosses halls. Pure: time is passed in.
+"""
+
+import logging
+from dataclasses import dataclass
+
+import msgspec
+
+from cinderway._ids import DataHall, EntryName, ServerName, ServiceName
+from cinderway.catalog import (
+    CatalogMachine,
+    EvidenceBatch,
+    ServerStatus,
+    SuspectServers,
+    VerdictBatch,
+    VerdictLine,
+)
+from cinderway.judgement import (
+    Capacity,
+    ServerEvidence,
+    ServiceJudge,
+    Standing,
+    Suspicions,
+    floor_slots_of,
+    is_out,
+    permitted_ejections,
+)
+from cinderway.table import Bias, ServiceRow
+
+logger = logging.getLogger(__name__)
+
+# A verdict changes with time too: ejections end, shares grow.
+REVIEW_MS = 500
+NORMAL_STEP = 1.25
+
+_evidence_decoder = msgspec.msgpack.Decoder(list[ServerEvidence])
+
+
+@dataclass(frozen=True)
+class JudgementRules:
+    """What holds for all services: how sure to be, and how much to leave."""
+
+    bias: Bias
+    floor_percent: int
+
+
+class HallAssessor:
+    """One replica's judgement of the servers that its entries use."""
+
+    def __init__(self, rules: JudgementRules):
+        self._rules = rules
+        self._judges: dict[ServiceName, ServiceJudge] = {}
+        self._halls: dict[EntryName, DataHall] = {}
+        self._has_evidence = False
+        self._decided_at_ms = 0
+        self._said_normal_ms: dict[ServiceName, float] = {}
+        self._ejected: dict[ServerName, str] = {}
+        self._suspicions = Suspicions()
+        self._told_at_ms = 0
+
+    def take(self, batch: EvidenceBatch, now_ms: int) -> None:
+        """Take one entry's observations."""
+        for evidence in _evidence_decoder.decode(batch.servers):
+            judge = self._judges.setdefault(evidence.service, ServiceJudge())
+            judge.hear(batch.entry, batch.data_hall, now_ms)
+            judge.observe(
+                batch.entry,
+                batch.data_hall,
+                evidence,
+                self._row(evidence.service),
+                now_ms,
+            )
+            if evidence.bad:
+                self._suspicions.note_failure(evidence.server, now_ms)
+        self._has_evidence = True
+
+    def new_suspects(self, now_ms: int) -> SuspectServers | None:
+        """Return the servers that became suspect since the last call, if any."""
+        found = self._suspicions.began_since(self._told_at_ms, now_ms)
+        self._told_at_ms = now_ms + 1
+        self._suspicions.forget_old(now_ms)
+        if not found:
+            return None
+        return SuspectServers(list(found), list(found.values()))
+
+    def has_news(self, now_ms: int) -> bool:
+        """Whether deciding again could change anything."""
+        if not self._judges:
+            return False
+        return self._has_evidence or now_ms - self._decided_at_ms >= REVIEW_MS
+
+    def decide(
+        self, catalog: CatalogMachine, now_ms: int
+    ) -> dict[DataHall, VerdictBatch]:
+        """Return what to tell the entries of each hall."""
+        self._has_evidence = False
+        self._decided_at_ms = now_ms
+        halls = {r.data_hall for r in catalog.replicas.values()}
+        lines: dict[DataHall, list[VerdictLine]] = {hall: [] for hall in halls}
+        for service, judge in self._judges.items():
+            self._decide_service(catalog, service, judge, lines, now_ms)
+        normal_ms = self._normal_ms()
+        services = sorted(normal_ms)
+        times_ms = [normal_ms[service] for service in services]
+        return {
+            hall: VerdictBatch(found, times_ms, services)
+            for hall, found in lines.items()
+        }
+
+    def _decide_service(
+        self,
+        catalog: CatalogMachine,
+        service: ServiceName,
+        judge: ServiceJudge,
+        lines: dict[DataHall, list[VerdictLine]],
+        now_ms: int,
+    ) -> None:
+        row = self._row(service)
+        servers = {
+            server.server_id: server
+            for server in catalog.registry.servers.values()
+            if server.service == service
+        }
+        judge.decide(row, servers.keys(), now_ms)
+        records = [r for r in judge.records() if r.standing is not Standing.HEALTHY]
+        condemned = {r.name: r.score for r in records if is_out(r.standing)}
+        capacities = [
+            Capacity(
+                server.server_id,
+                server.slots,
+                server.status is ServerStatus.ACTIVE,
+                server.server_id in condemned,
+                condemned.get(server.server_id, 0.0),
+            )
+            for server in servers.values()
+        ]
+        slots = sum(c.slots for c in capacities if c.is_available)
+        permitted = permitted_ejections(capacities, floor_slots_of(row, slots))
+        for record in records:
+            is_ejected = record.name in permitted
+            self._note(service, record.name, is_ejected, record.reason, record.score)
+            line = VerdictLine(
+                service,
+                record.name,
+                is_ejected,
+                round(judge.share(record, row, now_ms), 1),
+                record.reason,
+                round(record.score, 1),
+            )
+            for hall in record.halls or lines:
+                if hall in lines:
+                    lines[hall].append(line)
+        for record in judge.records():
+            if record.standing is Standing.HEALTHY:
+                self._note(service, record.name, False, record.reason, record.score)
+
+    def _note(
+        self,
+        service: ServiceName,
+        server: ServerName,
+        is_ejected: bool,
+        reason: str,
+        score: float,
+    ) -> None:
+        was_ejected = server in self._ejected
+        if is_ejected and not was_ejected:
+            self._ejected[server] = reason
+            logger.info("ejected %s/%s: %s, score %.1f", service, server, reason, score)
+        elif was_ejected and not is_ejected:
+            del self._ejected[server]
+            logger.info("took back %s/%s", service, server)
+
+    def _normal_ms(self) -> dict[ServiceName, float]:
+        """Usual times by service, told anew only when they move by a good part."""
+        for service, judge in self._judges.items():
+            said_ms = self._said_normal_ms.get(service, 0.0)
+            is_moved = judge.normal_ms > said_ms * NORMAL_STEP or (
+                judge.normal_ms < said_ms / NORMAL_STEP
+            )
+            if judge.normal_ms and is_moved:
+                self._said_normal_ms[service] = round(judge.normal_ms, 1)
+        return self._said_normal_ms
+
+    def _row(self, service: ServiceName) -> ServiceRow:
+        return ServiceRow(
+            name=service,
+            bias=self._rules.bias,
+            floor_percent=self._rules.floor_percent,
+            slow_start_ms=SLOW_START_MS,
+        )
+
+
+# Long enough for a server to fill its caches, short beside a failure's cost.
+SLOW_START_MS = 2_000
--- a/src/cinderway/entry/_answers.py
+++ b/src/cinderway/entry/_answers.py
@@ -29,10 +29,14 @@
     ErrorCode.TABLE_UNKNOWN: 503,
     ErrorCode.NO_QUORUM: 503,
     ErrorCode.BACKEND_SHED: 503,
+    ErrorCode.BACKEND_MISDIRECTED: 503,
+    ErrorCode.UNKNOWN_ROUTE: 404,
     ErrorCode.BACKEND_FAILED: 502,
     ErrorCode.ANSWER_CUT_SHORT: 502,
 }
 BAD_GATEWAY = 502
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
 # Coming back later does not change these.
 WITHOUT_RETRY = {400, 404, 413, 422, 428}
 
@@ -61,10 +65,10 @@
 def problem_answer(
     error: CinderwayError,
     outcome: Resolution,
-    retry_after_s: int = DEFAULT_RETRY_AFTER_S,
+    retry_after_s: float = DEFAULT_RETRY_AFTER_S,
 ) -> OwnAnswer:
     """Return the final answer for an error: what, where, whether it ran, when next."""
-    status = STATUS_OF_CODE.get(error.code, BAD_GATEWAY)
+    status = _status_of(error, outcome)
     problem = Problem(
         type=f"urn:cinderway:error:{error.code.value}",
         title=error.code.value,
@@ -79,5 +83,16 @@
         (OUTCOME_HEADER, outcome.value.encode()),
     ]
     if status not in WITHOUT_RETRY and outcome is not Resolution.RAN:
-        headers.append((b"retry-after", str(retry_after_s).encode()))
+        headers.append((b"retry-after", f"{retry_after_s:g}".encode()))
     return OwnAnswer(status, headers, msgspec.json.encode(problem))
+
+
+def _status_of(error: CinderwayError, outcome: Resolution) -> int:
+    """503 promises that the request did not run; callers may rely on it."""
+    status = STATUS_OF_CODE.get(error.code, BAD_GATEWAY)
+    if status == UNAVAILABLE and outcome is not Resolution.NOT_RUN:
+        is_late = error.code is ErrorCode.DEADLINE_PASSED
+        return GATEWAY_TIMEOUT if is_late else BAD_GATEWAY
+    if status == BAD_GATEWAY and outcome is Resolution.NOT_RUN:
+        return UNAVAILABLE
+    return status
--- a/src/cinderway/entry/_attempts.py
+++ b/src/cinderway/entry/_attempts.py
@@ -1,10 +1,10 @@
 """Whole answers: attempt, hedge and retry until one is there."""
 
+import itertools
 from dataclasses import dataclass
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway._ids import ServerName
 from cinderway._operators import Metrics
 from cinderway.entry._blackboard import ServiceState
 from cinderway.entry._dispatch import Dispatcher
@@ -14,7 +14,6 @@
 from cinderway.entry._requests import CallerRequest
 from cinderway.ledger import Resolution
 
-ATTEMPT_LIMIT = 4
 SERVER_ERROR = 500
 
 
@@ -25,44 +24,52 @@
     dispatcher: Dispatcher
     metrics: Metrics
     answer_limit_bytes: int
+    # Whether a request that a server refused to run takes from the budget.
+    pays_for_sheds: bool = False
 
     async def whole_answer(
         self, service: ServiceState, request: CallerRequest, is_repeatable: bool
     ) -> WholeAnswer:
-        """Return the first good answer of up to ATTEMPT_LIMIT servers."""
+        """Return the first good answer of the servers that the request may reach.
+
+        A server's answer of 5xx is returned if nothing better came. Raises OutcomeError
+        whose outcome is NOT_RUN only if no server can have run the request.
+        """
         service.budget.earn()
-        exclude: set[ServerName] = set()
-        attempts = 0
-        while True:
-            attempts += 1
-            has_attempts = attempts < ATTEMPT_LIMIT
+        failed: WholeAnswer | None = None
+        may_have_run = False
+        for rounds in itertools.count(1):
             try:
-                answer = await self._raced(service, request, exclude, is_repeatable)
+                answer = await self._raced(service, request, is_repeatable)
             except CinderwayError as error:
                 outcome = outcome_of_attempt(error)
-                if not self.may_retry(
-                    service, error, outcome, is_repeatable, has_attempts
-                ):
-                    raise OutcomeError(error, outcome) from error
-                continue
-            is_failed = answer.status >= SERVER_ERROR and is_repeatable
-            if is_failed and has_attempts and self.spend(service):
-                continue
-            return answer
+                may_have_run = may_have_run or outcome is not Resolution.NOT_RUN
+                has_attempts = _has_attempts(request, rounds)
+                if self.may_retry(service, error, outcome, is_repeatable, has_attempts):
+                    continue
+                if failed is not None:
+                    return failed
+                outcome = Resolution.UNKNOWN if may_have_run else outcome
+                raise OutcomeError(error, outcome) from error
+            if answer.status < SERVER_ERROR or not is_repeatable:
+                return answer
+            failed, may_have_run = answer, True
+            if not (_has_attempts(request, rounds) and self.spend(service)):
+                return failed
+        raise AssertionError("the loop ends by return or raise")
 
     async def _one_whole(
         self,
         service: ServiceState,
         request: CallerRequest,
-        exclude: set[ServerName],
         is_repeatable: bool,
     ) -> WholeAnswer:
         async with self.dispatcher.exchange(
             service,
             request.backend_request,
-            self.dispatcher.new_attempt_id(),
+            request.attempt_id or self.dispatcher.new_attempt_id(),
             request.deadline_ms,
-            exclude=exclude,
+            exclude=request.tried,
             is_repeatable=is_repeatable,
         ) as exchange:
             answer = await read_whole(
@@ -78,16 +85,17 @@
         self,
         service: ServiceState,
         request: CallerRequest,
-        exclude: set[ServerName],
         is_repeatable: bool,
     ) -> WholeAnswer:
         async def attempt() -> WholeAnswer:
-            return await self._one_whole(service, request, exclude, is_repeatable)
+            return await self._one_whole(service, request, is_repeatable)
 
         if not is_repeatable:
             return await attempt()
 
         def may_hedge() -> bool:
+            if len(request.tried) >= request.server_limit:
+                return False
             if not service.budget.spend():
                 return False
             self.metrics.count("hedges_total", {"service": service.row.name})
@@ -107,7 +115,7 @@
         """Say whether a failed attempt is followed by another, and pay for it."""
         if error.step in (Step.QUEUE, Step.ROUTE):
             return False
-        if error.code is ErrorCode.BACKEND_SHED:
+        if error.code is ErrorCode.BACKEND_SHED and not self.pays_for_sheds:
             # Not run, and the slot wait that follows paces it: no new load.
             return True
         if not is_repeatable and outcome is not Resolution.NOT_RUN:
@@ -120,3 +128,7 @@
             return False
         self.metrics.count("retries_total", {"service": service.row.name})
         return True
+
+
+def _has_attempts(request: CallerRequest, rounds: int) -> bool:
+    return max(rounds, len(request.tried)) < request.server_limit
--- a/src/cinderway/entry/_backends.py
+++ b/src/cinderway/entry/_backends.py
@@ -1,5 +1,6 @@
 """One attempt at a backend server, over a connection that serves one at a time."""
 
+import re
 import select
 import socket
 from collections import deque
@@ -12,7 +13,7 @@
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway._ids import Address, AttemptId
+from cinderway._ids import Address, AttemptId, ServerName
 from cinderway.wire._connection import split_address
 
 CONNECT_TIMEOUT_S = 1.0
@@ -25,10 +26,38 @@
 LOAD_HEADER = b"cinderway-load"
 DRAIN_HEADER = b"cinderway-drain"
 NOT_RUN = b"not_run"
+MISDIRECTED = 421
+OK = 200
+MULTIPLE_CHOICES = 300
+KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
+# A connection is left alone this long before its server may close it.
+IDLE_MARGIN_S = 1.0
 
 Headers = list[tuple[bytes, bytes]]
 
 
+@dataclass(frozen=True)
+class HeaderNames:
+    """The headers that entries and backend servers speak by, in lower case.
+
+    `expected`, `not_run` and `seal` are empty where servers know no such header.
+    `is_echoed` says that every answer carries the attempt's name back, and
+    `passes_own` that headers of our own prefix go on to the other side.
+    """
+
+    attempt: bytes = ATTEMPT_HEADER
+    deadline: bytes = DEADLINE_HEADER
+    load: bytes = LOAD_HEADER
+    expected: bytes = b""
+    not_run: bytes = b""
+    seal: bytes = b""
+    is_echoed: bool = False
+    passes_own: bool = False
+
+
+OWN_NAMES = HeaderNames()
+
+
 @dataclass(frozen=True)
 class BackendRequest:
     """What is sent to a backend server; nothing in it changes between attempts."""
@@ -47,6 +76,7 @@
     headers: Headers
     _response: httpcore.Response
     _connection: "_PooledConnection"
+    names: HeaderNames = OWN_NAMES
 
     def header(self, name: bytes) -> bytes | None:
         """Return a header's value, or None."""
@@ -58,7 +88,34 @@
     @property
     def is_shed(self) -> bool:
         """The server's own word that it did not run the request."""
-        return self.header(OUTCOME_HEADER) == NOT_RUN
+        if self.names.not_run and self.header(self.names.not_run) is not None:
+            return True
+        return self.header(OUTCOME_HEADER) == NOT_RUN or self.is_misdirected
+
+    @property
+    def is_misdirected(self) -> bool:
+        """Whether another server than the expected one has the address now."""
+        return bool(self.names.expected) and self.status == MISDIRECTED
+
+    def foreign_reason(self, attempt_id: AttemptId) -> str:
+        """Why this cannot be the server's own answer to the attempt; "" if it can."""
+        names = self.names
+        if names.is_echoed and self.header(names.attempt) != attempt_id.encode():
+            return "the answer belongs to another request"
+        if not names.seal or not OK <= self.status < MULTIPLE_CHOICES:
+            return ""
+        if self.header(names.seal) is None:
+            return "a successful answer carries no seal of the server"
+        if self.header(b"content-encoding") is not None:
+            return "the body is encoded, which nobody asked for"
+        return ""
+
+    def idle_limit_s(self) -> float:
+        """How long the connection may rest before the server may close it."""
+        found = KEEP_ALIVE_TIMEOUT.search(self.header(b"keep-alive") or b"")
+        if found is None:
+            return IDLE_LIMIT_S
+        return max(min(int(found[1]) - IDLE_MARGIN_S, IDLE_LIMIT_S), 0.0)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; raises CinderwayError if it is cut short."""
@@ -73,6 +130,7 @@
                 peer=self._connection.address,
             ) from error
         self._connection.is_reusable = True
+        self._connection.idle_limit_ms = round(self.idle_limit_s() * 1000)
 
     async def aclose(self) -> None:
         """Give the connection back if the answer was read whole, else close it."""
@@ -130,6 +188,17 @@
     pool: "BackendConnections"
     is_reusable: bool = False
     sending_began: bool = False
+    idle_limit_ms: int = 0
+    idle_until_ms: int = 0
+
+    @property
+    def has_surplus(self) -> bool:
+        """Whether the server sent more than its answer: it belongs to no request.
+
+        httpcore has no public way to ask for what h11 has read ahead.
+        """
+        surplus, _ = self.http._h11_state.trailing_data
+        return bool(surplus)
 
     async def trace(self, event: str, info: dict) -> None:
         if event == SENDING_BEGAN:
@@ -140,7 +209,8 @@
         # rest of it: reused, it would give one caller another's answer.
         if response is not None and self.is_reusable:
             await response.aclose()
-        if self.is_reusable and self.http.is_idle():
+        if self.is_reusable and self.http.is_idle() and not self.has_surplus:
+            self.idle_until_ms = monotonic_ms() + self.idle_limit_ms
             if self.pool.keep(self):
                 return
         with anyio.CancelScope(shield=True):
@@ -152,6 +222,8 @@
     """Idle connections by address. Never holds a busy one."""
 
     idle_limit: int = 64
+    names: HeaderNames = OWN_NAMES
+    opened: int = 0
     _idle: dict[Address, deque[_PooledConnection]] = field(default_factory=dict)
 
     async def send(
@@ -162,6 +234,7 @@
         deadline_ms: int,
         *,
         fresh: bool,
+        expected: ServerName | None = None,
     ) -> BackendAnswer:
         """Send a request and return its answer's head.
 
@@ -177,7 +250,9 @@
         response = None
         try:
             response = await connection.http.handle_async_request(
-                self._http_request(connection, request, attempt_id, deadline_ms)
+                self._http_request(
+                    connection, request, attempt_id, deadline_ms, expected
+                )
             )
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             raise _attempt_failed(connection, address, error) from error
@@ -187,7 +262,16 @@
             if response is None:
                 await connection.give_back(None)
         headers = [(name, value) for name, value in response.headers]
-        return BackendAnswer(response.status, headers, response, connection)
+        answer = BackendAnswer(
+            response.status, headers, response, connection, self.names
+        )
+        reason = answer.foreign_reason(attempt_id)
+        if reason:
+            await connection.give_back(None)
+            raise CinderwayError(
+                ErrorCode.ANSWER_FOREIGN, reason, step=Step.AWAIT_ANSWER, peer=address
+            )
+        return answer
 
     def keep(self, connection: _PooledConnection) -> bool:
         """Keep an idle connection for the next request, unless there are enough."""
@@ -210,7 +294,8 @@
         idle = self._idle.get(address)
         while idle:
             connection = idle.pop()
-            if not connection.http.has_expired():
+            is_fresh = monotonic_ms() < connection.idle_until_ms
+            if is_fresh and not connection.http.has_expired():
                 return connection
             await connection.http.aclose()
         return None
@@ -227,6 +312,7 @@
                 step=Step.CONNECT,
                 peer=address,
             ) from error
+        self.opened += 1
         http = httpcore.AsyncHTTP11Connection(
             httpcore.Origin(b"http", host.encode(), port),
             _Stream(stream),
@@ -240,14 +326,17 @@
         request: BackendRequest,
         attempt_id: AttemptId,
         deadline_ms: int,
+        expected: ServerName | None,
     ) -> httpcore.Request:
         host, port = split_address(connection.address)
         remaining_ms = max(deadline_ms - monotonic_ms(), 0)
         headers = [
             *request.headers,
-            (DEADLINE_HEADER, str(remaining_ms).encode()),
-            (ATTEMPT_HEADER, attempt_id.encode()),
+            (self.names.deadline, str(remaining_ms).encode()),
+            (self.names.attempt, attempt_id.encode()),
         ]
+        if self.names.expected and expected:
+            headers.append((self.names.expected, expected.encode()))
         return httpcore.Request(
             request.method,
             httpcore.URL(
--- a/src/cinderway/entry/_blackboard.py
+++ b/src/cinderway/entry/_blackboard.py
@@ -7,6 +7,7 @@
 """
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -14,7 +15,7 @@
 from cinderway._ids import DataHall, EntryName, ServerName, ServiceName
 from cinderway.limits import Admission, RetryBudget
 from cinderway.membership import Fleet
-from cinderway.routing import RouteTable
+from cinderway.routing import OTHER_HALL_PENALTY, RouteTable
 from cinderway.table import ServerRow, ServiceRow, Table
 
 
@@ -30,6 +31,10 @@
     draining_until_ms: int = 0
     is_listed_leaving: bool = False
     pause_until_ms: int = 0
+    # It has just failed a request, here or elsewhere in the hall.
+    suspect_until_ms: int = 0
+    # By the server's own word it is slow until then.
+    warm_until_ms: int = 0
     # Slow start of a server that joined while this entry ran; 0 if there is none.
     joined_at_ms: int = 0
     is_ejected: bool = False
@@ -62,6 +67,7 @@
     admission: Admission = field(default_factory=Admission)
     slot_freed: anyio.Event = field(default_factory=anyio.Event)
     background_probes_per_s: float = 0.0
+    hall_penalty: float = OTHER_HALL_PENALTY
 
     def free_slot(self) -> None:
         """Wake the requests that wait for a slot."""
@@ -91,10 +97,19 @@
         """Bring the derived state in line with the table in force."""
         rows = {row.name: row for row in self.table.services()}
         self.routes = RouteTable(list(rows.values()))
+        self.refresh_services(rows, self.table.servers_of, now_ms)
+
+    def refresh_services(
+        self,
+        rows: dict[ServiceName, ServiceRow],
+        servers_of: Callable[[ServiceName], dict[ServerName, ServerRow]],
+        now_ms: int,
+    ) -> None:
+        """Bring services and servers in line with their rows; what is known stays."""
         for name in self.services.keys() - rows.keys():
             del self.services[name]
         for name, row in rows.items():
-            self._refresh_service(row, self.table.servers_of(name), now_ms)
+            self._refresh_service(row, servers_of(name), now_ms)
         self.table_changed.set()
         self.table_changed = anyio.Event()
 
--- /dev/null
+++ b/src/cinderway/entry/_catalog_board.py
@@ -0,0 +1,170 @@
+"""The blackboard of an entry that serves by the catalog, and the catalog's copy.
+
+Services and servers on the board are rebuilt from the copy; verdicts of the control
+replica that is followed are written over them.
+"""
+
+from dataclasses import dataclass, field
+
+import anyio
+
+from cinderway._clock import monotonic_ms
+from cinderway._ids import Address, DataHall, ServerName, ServiceName
+from cinderway.catalog import (
+    CatalogMirror,
+    CatalogUpdate,
+    RegisteredServer,
+    RouteIndex,
+    RouteKind,
+    ServerStatus as Status,
+    VerdictBatch,
+)
+from cinderway.entry._blackboard import Blackboard
+from cinderway.judgement import EvidenceLog, Suspicions
+from cinderway.limits import RetryBudget
+from cinderway.table import ServerRow, ServerState, ServiceRow
+
+# Shares of a server's slots by which one in another hall must look emptier.
+SMALL_ANSWER_PENALTY = 0.7
+# A large answer from another hall costs more than a long wait for one from the own.
+DOWNLOAD_PENALTY = 2.0
+FULL_SHARE = 1.0
+
+
+@dataclass
+class CatalogBoard:
+    """An entry's state in catalog mode."""
+
+    board: Blackboard
+    evidence: EvidenceLog
+    retry_percent: int
+    retry_burst: float
+    mirror: CatalogMirror = field(default_factory=CatalogMirror)
+    routes: RouteIndex | None = None
+    # When the replica that is followed last knew the newest catalog.
+    current_at_ms: int = 0
+    activity: anyio.Event = field(default_factory=anyio.Event)
+    bad_news: anyio.Event = field(default_factory=anyio.Event)
+    _suspicions: Suspicions = field(default_factory=Suspicions)
+
+    def __post_init__(self):
+        self.evidence.on_bad = self.note_failure
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers can be served."""
+        return self.routes is not None and not self.board.is_leaving
+
+    def age_ms(self, now_ms: int) -> int:
+        """How old the catalog may be."""
+        return now_ms - self.current_at_ms
+
+    def note_activity(self) -> None:
+        """Wake what reports evidence."""
+        self.activity.set()
+
+    def note_failure(self, server: ServerName) -> None:
+        """Avoid a server that has just failed a request of this entry's."""
+        self.suspect(server, self._suspicions.note_failure(server, monotonic_ms()))
+        self.bad_news.set()
+
+    def suspect(self, server: ServerName, until_ms: int) -> None:
+        """Use a server only where nothing better is free, until then."""
+        registered = self.mirror.servers.get(server)
+        if registered is None or registered.service not in self.board.services:
+            return
+        state = self.board.services[registered.service].servers[server]
+        state.suspect_until_ms = max(state.suspect_until_ms, until_ms)
+
+    def install(self, update: CatalogUpdate, now_ms: int) -> bool:
+        """Put an update in force; False if it is not newer than what is."""
+        if not self.mirror.install(update):
+            return False
+        sheet = self.mirror.sheet
+        if sheet is None:
+            return True
+        if update.sheet or self.routes is None:
+            self.routes = RouteIndex(sheet)
+        self._refresh(now_ms)
+        return True
+
+    def apply(self, verdicts: VerdictBatch) -> None:
+        """Bring ejections and shares in line with a replica's verdicts."""
+        for service, normal_ms in zip(
+            verdicts.services, verdicts.normal_ms, strict=True
+        ):
+            self.evidence.set_normal(service, normal_ms)
+        found = {line.server: line for line in verdicts.lines}
+        for service in self.board.services.values():
+            for name, server in service.servers.items():
+                line = found.get(name)
+                server.is_ejected = bool(line and line.is_ejected)
+                server.share = line.share if line and line.share else FULL_SHARE
+            service.free_slot()
+
+    def _refresh(self, now_ms: int) -> None:
+        sheet = self.mirror.sheet
+        rows = {
+            entry.name: ServiceRow(
+                name=entry.name,
+                probe_path=entry.probe_path,
+                retry_percent=self.retry_percent,
+            )
+            for entry in sheet.services
+        }
+        limits = {entry.name: entry.connection_limit for entry in sheet.services}
+        servers = self._rows_by_service(limits)
+        known = set(self.board.services)
+        self.board.refresh_services(
+            rows, lambda service: servers.get(service, {}), now_ms
+        )
+        for name in rows.keys() - known:
+            self.board.services[name].budget = RetryBudget(
+                self.retry_percent, self.retry_burst / 2, self.retry_burst
+            )
+        self._refresh_penalties()
+        self._refresh_warmups(now_ms)
+
+    def _rows_by_service(
+        self, limits: dict[ServiceName, int]
+    ) -> dict[ServiceName, dict[ServerName, ServerRow]]:
+        rows: dict[ServiceName, dict[ServerName, ServerRow]] = {}
+        for server in self.mirror.servers.values():
+            limit = limits.get(server.service)
+            if limit is not None:
+                of_service = rows.setdefault(server.service, {})
+                of_service[server.server_id] = _row_of(server, limit)
+        return rows
+
+    def _refresh_penalties(self) -> None:
+        downloads = {
+            part.service
+            for route in self.mirror.sheet.routes
+            if route.kind is RouteKind.DOWNLOAD
+            for part in route.parts
+        }
+        for name, service in self.board.services.items():
+            is_download = name in downloads
+            service.hall_penalty = (
+                DOWNLOAD_PENALTY if is_download else SMALL_ANSWER_PENALTY
+            )
+
+    def _refresh_warmups(self, now_ms: int) -> None:
+        for service in self.board.services.values():
+            for name, server in service.servers.items():
+                warmup_ms = self.mirror.servers[name].warmup_ms
+                if warmup_ms and not server.warm_until_ms:
+                    server.warm_until_ms = now_ms + warmup_ms
+
+
+def _row_of(server: RegisteredServer, connection_limit: int) -> ServerRow:
+    is_leaving = server.status is Status.LEAVING
+    return ServerRow(
+        name=server.server_id,
+        service=server.service,
+        data_hall=DataHall(server.data_hall),
+        address=Address(server.address),
+        slots=server.slots,
+        connection_limit=connection_limit,
+        state=ServerState.LEAVING if is_leaving else ServerState.ACTIVE,
+    )
--- /dev/null
+++ b/src/cinderway/entry/_catalog_daemon.py
@@ -0,0 +1,112 @@
+"""The entry process that serves by the service catalog."""
+
+import logging
+import random
+
+import anyio
+
+from cinderway._clock import monotonic_ms
+from cinderway._daemon import keep_running, log_start, wait_for_stop
+from cinderway._http_server import QuietServer, http_server
+from cinderway._logging import configure_logging
+from cinderway._operators import Metrics, serve_operators
+from cinderway._settings import CatalogEntrySettings
+from cinderway.entry._attempts import Attempts
+from cinderway.entry._backends import BackendConnections, HeaderNames
+from cinderway.entry._blackboard import Blackboard
+from cinderway.entry._catalog_board import CatalogBoard
+from cinderway.entry._catalog_follower import CatalogFollower
+from cinderway.entry._dispatch import Dispatcher
+from cinderway.entry._route_handler import RouteHandler
+from cinderway.judgement import EvidenceLog
+from cinderway.wire import Identity
+
+logger = logging.getLogger(__name__)
+
+# Longer than callers rest a connection, so that the entry never closes one that a
+# request is just being sent on.
+KEEP_ALIVE_S = 30
+ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
+DRAIN_POLL_S = 0.02
+
+
+async def run_catalog_entry(settings: CatalogEntrySettings) -> None:
+    """Run an entry until it is told to stop; requests in flight finish first."""
+    configure_logging(settings.log_format, settings.log_level)
+    log_start(logger, f"entry {settings.name}", settings.callers_listen)
+    names = header_names(settings)
+    evidence = EvidenceLog()
+    board = Blackboard(settings.name, settings.data_hall, random.Random())
+    state = CatalogBoard(board, evidence, settings.retry_percent, settings.retry_burst)
+    dispatcher = Dispatcher(board, BackendConnections(names=names), evidence)
+    metrics = Metrics()
+    attempts = Attempts(dispatcher, metrics, ANSWER_LIMIT_BYTES, pays_for_sheds=True)
+    identity = Identity(settings.name, settings.shared_key)
+    follower = CatalogFollower(settings, state, identity)
+    handler = RouteHandler(state, attempts, names, metrics)
+    server = http_server(settings.callers_listen, handler, keep_alive_s=KEEP_ALIVE_S)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(keep_running, "catalog follower", follower.run)
+        await tasks.start(
+            serve_operators,
+            settings.operators_listen,
+            lambda: _gauges(state, dispatcher, follower),
+            lambda: state.is_ready,
+            metrics,
+        )
+        tasks.start_soon(server.serve)
+        await wait_for_stop()
+        with anyio.move_on_after(settings.stop_limit_ms / 1000):
+            await _drain(settings, board, server)
+        tasks.cancel_scope.cancel()
+    logger.info("stopped with %d requests in flight", board.in_flight)
+
+
+def header_names(settings: CatalogEntrySettings) -> HeaderNames:
+    """Return the header names that the settings give."""
+    return HeaderNames(
+        attempt=settings.attempt_header,
+        deadline=settings.deadline_header,
+        load=settings.load_header,
+        expected=settings.expected_header,
+        not_run=settings.not_run_header,
+        seal=settings.seal_header,
+        is_echoed=True,
+        passes_own=True,
+    )
+
+
+async def _drain(
+    settings: CatalogEntrySettings, board: Blackboard, server: QuietServer
+) -> None:
+    """Stop without cutting a request.
+
+    Not ready at once, but still accepting while the balancer's list lags; answers
+    say that their connection closes. Then no more connections, and wait for the last
+    request.
+    """
+    board.is_leaving = True
+    logger.info("stopping: %d requests in flight", board.in_flight)
+    await anyio.sleep(settings.drain_ms / 1000)
+    server.stop()
+    while board.in_flight or server.server_state.connections:
+        await anyio.sleep(DRAIN_POLL_S)
+
+
+def _gauges(
+    state: CatalogBoard, dispatcher: Dispatcher, follower: CatalogFollower
+) -> dict[str, float]:
+    board = state.board
+    servers = [
+        s for service in board.services.values() for s in service.servers.values()
+    ]
+    return {
+        "catalog_revision": float(state.mirror.revision),
+        "catalog_age_seconds": state.age_ms(monotonic_ms()) / 1000,
+        "catalog_updates": float(follower.updates),
+        "requests_in_flight": float(board.in_flight),
+        "attempts": float(dispatcher.attempts),
+        "sheds": float(dispatcher.sheds),
+        "connections_opened": float(dispatcher.connections.opened),
+        "servers_ejected": float(sum(server.is_ejected for server in servers)),
+    }
--- /dev/null
+++ b/src/cinderway/entry/_catalog_follower.py
@@ -0,0 +1,252 @@
+"""Follow the catalog at one control replica, in the own data hall if there is one.
+
+The replica says twice a second how old its own knowledge is. When that grows, or
+nothing comes, another replica is followed; the catalog that is held stays in force
+meanwhile and never goes back.
+"""
+
+import logging
+from dataclasses import dataclass, field
+
+import anyio
+import msgspec
+
+from cinderway._clock import monotonic_ms
+from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._ids import Address
+from cinderway._settings import CatalogEntrySettings
+from cinderway.catalog import (
+    CATALOG,
+    CatalogHeartbeat,
+    CatalogUpdate,
+    EvidenceBatch,
+    FindReplicas,
+    FollowCatalog,
+    ReplicaAddress,
+    ReplicasAnswer,
+    SuspectServers,
+    VerdictBatch,
+)
+from cinderway.entry._catalog_board import CatalogBoard
+from cinderway.judgement import evidence_from
+from cinderway.routing import rank_of
+from cinderway.wire import Connection, Identity, connect
+
+logger = logging.getLogger(__name__)
+
+# Three heartbeats of the replica; a change must be in force within two seconds.
+SILENT_LIMIT_S = 1.6
+# Above an election's length, so that one alone makes no entry change replica.
+LEADER_AGE_LIMIT_MS = 1_800
+FIND_TIMEOUT_S = 0.5
+CONNECT_TIMEOUT_S = 0.5
+RETRY_PAUSE_S = 0.1
+# How long a replica that failed comes last in the order.
+AVOID_MS = 5_000
+# How often an entry that follows another hall's replica looks for one in its own.
+LOOK_HOME_MS = 5_000
+REPORT_PAUSE_S = 0.1
+# Good observations are gathered for this long; bad ones go out at the next look.
+GATHER_MS = 500
+NO_VERDICTS = VerdictBatch([], [], [])
+
+
+@dataclass
+class CatalogFollower:
+    """Keeps an entry's copy of the catalog up to date."""
+
+    settings: CatalogEntrySettings
+    state: CatalogBoard
+    identity: Identity
+    seeds: tuple[Address, ...] = ()
+    updates: int = 0
+    _replicas: list[ReplicaAddress] = field(default_factory=list)
+    _avoid_until_ms: dict[Address, int] = field(default_factory=dict)
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            for address in self._candidates():
+                if await self._try(address):
+                    break
+            await anyio.sleep(RETRY_PAUSE_S)
+
+    # Choosing.
+
+    def _candidates(self) -> list[Address]:
+        """Replicas in the order to try them; each entry has its own order."""
+        now_ms = monotonic_ms()
+        halls = {replica.address: replica.data_hall for replica in self._replicas}
+        addresses = set(halls) | set(self._seed_addresses())
+
+        def rank(address: Address) -> tuple:
+            is_avoided = self._avoid_until_ms.get(address, 0) > now_ms
+            is_home = halls.get(address) == self.settings.data_hall
+            # All entries of a hall choose the same one: observations are judged
+            # together there.
+            key = self.settings.data_hall if is_home else self.settings.name
+            return (is_avoided, not is_home, rank_of(key, address))
+
+        return sorted(addresses, key=rank)
+
+    def _seed_addresses(self) -> list[Address]:
+        seeds = self.seeds or self.settings.seeds
+        hosts = [seed.rpartition(":")[0] for seed in seeds]
+        return [Address(f"{host}:{self.settings.control_port}") for host in hosts]
+
+    def _hall_of(self, address: Address) -> str:
+        for replica in self._replicas:
+            if replica.address == address:
+                return replica.data_hall
+        return ""
+
+    def _is_home(self, address: Address) -> bool:
+        return self._hall_of(address) == self.settings.data_hall
+
+    def _has_better(self, address: Address) -> bool:
+        """Whether a replica of the own hall is known, and this one is not in it."""
+        if self._is_home(address):
+            return False
+        now_ms = monotonic_ms()
+        return any(
+            replica.data_hall == self.settings.data_hall
+            and self._avoid_until_ms.get(replica.address, 0) <= now_ms
+            for replica in self._replicas
+        )
+
+    # Following.
+
+    async def _try(self, address: Address) -> bool:
+        """Follow one replica for as long as that goes well; False to try the next."""
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                connection = await connect(address, CATALOG, self.identity)
+        except (CinderwayError, TimeoutError) as error:
+            self._avoid(address)
+            logger.info("control replica %s cannot be reached: %s", address, error)
+            return False
+        try:
+            await self._find(connection)
+            if self._has_better(address):
+                return True
+            await self._follow(connection, address)
+        except (CinderwayError, TimeoutError) as error:
+            self._avoid(address)
+            # Its verdicts end with it; another replica judges anew within seconds.
+            self.state.apply(NO_VERDICTS)
+            logger.warning(
+                "lost control replica %s: %s; catalog %d stays in force",
+                address,
+                error or "silent",
+                self.state.mirror.revision,
+            )
+        finally:
+            await connection.aclose()
+        return True
+
+    def _avoid(self, address: Address) -> None:
+        self._avoid_until_ms[address] = monotonic_ms() + AVOID_MS
+
+    async def _find(self, connection: Connection) -> None:
+        with anyio.fail_after(FIND_TIMEOUT_S):
+            await connection.send(FindReplicas(), call_id=1)
+            answer = (await connection.receive()).message
+        if isinstance(answer, ReplicasAnswer):
+            self._replicas = answer.replicas
+
+    async def _follow(self, connection: Connection, address: Address) -> None:
+        name, hall = self.settings.name, self.settings.data_hall
+        known_revision = self.state.mirror.revision
+        await connection.send(FollowCatalog(name, hall, known_revision))
+        logger.info(
+            "following control replica %s of %s from catalog %d",
+            address,
+            self._hall_of(address) or "an unknown hall",
+            known_revision,
+        )
+        failure: Exception | None = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._report, connection)
+            try:
+                await self._listen(connection, address)
+            except (CinderwayError, TimeoutError) as error:
+                failure = error
+            tasks.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+
+    async def _listen(self, connection: Connection, address: Address) -> None:
+        look_home_at_ms = monotonic_ms() + LOOK_HOME_MS
+        while True:
+            with anyio.fail_after(SILENT_LIMIT_S):
+                message = (await connection.receive()).message
+            now_ms = monotonic_ms()
+            match message:
+                case CatalogUpdate():
+                    self._install(message, now_ms)
+                case SuspectServers(servers=servers, for_ms=for_ms):
+                    for server, left_ms in zip(servers, for_ms, strict=True):
+                        self.state.suspect(server, now_ms + left_ms)
+                case VerdictBatch():
+                    self.state.apply(message)
+                case CatalogHeartbeat(leader_age_ms=age_ms):
+                    self._hear(address, age_ms, now_ms)
+            if now_ms >= look_home_at_ms and not self._is_home(address):
+                return
+
+    def _install(self, update: CatalogUpdate, now_ms: int) -> None:
+        if not self.state.install(update, now_ms):
+            return
+        self.updates += 1
+        sheet = self.state.mirror.sheet
+        logger.info(
+            "in force: catalog %d, sheet version %s, %d backend servers",
+            update.revision,
+            sheet.version if sheet else "none",
+            len(self.state.mirror.servers),
+        )
+
+    def _hear(self, address: Address, age_ms: int, now_ms: int) -> None:
+        if age_ms > LEADER_AGE_LIMIT_MS:
+            raise CinderwayError(
+                ErrorCode.NO_QUORUM,
+                f"the replica last heard from a leader {age_ms} ms ago",
+                step=Step.RECEIVE,
+                peer=address,
+            )
+        self.state.current_at_ms = max(self.state.current_at_ms, now_ms - age_ms)
+
+    async def _report(self, connection: Connection) -> None:
+        evidence = self.state.evidence
+        reported_at_ms = 0
+        while True:
+            await self.state.activity.wait()
+            with anyio.move_on_after(REPORT_PAUSE_S):
+                await self.state.bad_news.wait()
+            self.state.bad_news = anyio.Event()
+            now_ms = monotonic_ms()
+            evidence.sweep(now_ms)
+            is_due = now_ms - reported_at_ms >= GATHER_MS
+            if not evidence.has_bad and not is_due:
+                continue
+            counts = evidence.take()
+            if counts:
+                reported_at_ms = now_ms
+                await self._send_evidence(connection, counts)
+            elif not self.state.board.in_flight:
+                self.state.activity = anyio.Event()
+
+    async def _send_evidence(self, connection: Connection, counts: dict) -> None:
+        found = [
+            evidence_from(service, server, seen)
+            for (service, server), seen in counts.items()
+        ]
+        batch = EvidenceBatch(
+            self.settings.name, self.settings.data_hall, msgspec.msgpack.encode(found)
+        )
+        try:
+            with anyio.fail_after(REPORT_PAUSE_S):
+                await connection.send(batch)
+        except (CinderwayError, TimeoutError) as error:
+            logger.info("observations of %d servers lost: %s", len(found), error)
+            await connection.aclose()
--- a/src/cinderway/entry/_daemon.py
+++ b/src/cinderway/entry/_daemon.py
@@ -4,11 +4,11 @@
 import random
 
 import anyio
-import uvicorn
 
 from cinderway._daemon import keep_running, wait_for_stop
+from cinderway._http_server import QuietServer, http_server
 from cinderway._logging import configure_logging
-from cinderway._operators import Metrics, QuietServer, serve_operators
+from cinderway._operators import Metrics, serve_operators
 from cinderway._settings import EntrySettings
 from cinderway.entry._assessor_server import AssessorServer
 from cinderway.entry._attempts import Attempts
@@ -69,7 +69,9 @@
             lambda: board.is_table_trusted and not board.is_leaving,
             metrics,
         )
-        server = _callers_server(settings, handler)
+        server = http_server(
+            settings.callers_listen, handler, keep_alive_s=KEEP_ALIVE_S
+        )
         tasks.start_soon(server.serve)
         await wait_for_stop()
         await _drain(settings, board, server, run_once)
@@ -77,29 +79,10 @@
         runs.cancel_scope.cancel()
 
 
-def _callers_server(settings: EntrySettings, handler: Handler) -> uvicorn.Server:
-    host, _, port = settings.callers_listen.rpartition(":")
-    config = uvicorn.Config(
-        handler,
-        host=host.strip("[]"),
-        port=int(port),
-        http="httptools",
-        lifespan="off",
-        log_config=None,
-        access_log=False,
-        server_header=False,
-        # A forwarded answer brings its own.
-        date_header=False,
-        timeout_keep_alive=KEEP_ALIVE_S,
-        backlog=4096,
-    )
-    return QuietServer(config)
-
-
 async def _drain(
     settings: EntrySettings,
     board: Blackboard,
-    server: uvicorn.Server,
+    server: QuietServer,
     run_once: RunOnce,
 ) -> None:
     """Stop without cutting a request.
@@ -110,7 +93,7 @@
     board.is_leaving = True
     logger.info("stopping: %d requests in flight", board.in_flight)
     await anyio.sleep(settings.drain_ms / 1000)
-    server.should_exit = True
+    server.stop()
     while board.in_flight or run_once.in_progress or server.server_state.connections:
         await anyio.sleep(DRAIN_POLL_S)
     logger.info("stopped: no request in flight")
--- a/src/cinderway/entry/_dispatch.py
+++ b/src/cinderway/entry/_dispatch.py
@@ -1,5 +1,6 @@
 """Bring a request to a backend server: wait for a slot, attempt, note what came."""
 
+import re
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -11,7 +12,6 @@
 from cinderway._ids import AttemptId, ServerName
 from cinderway.entry._backends import (
     DRAIN_HEADER,
-    LOAD_HEADER,
     BackendAnswer,
     BackendConnections,
     BackendRequest,
@@ -26,6 +26,8 @@
 SHED_PAUSE_SHARE = 0.5
 SHED_PAUSE_MINIMUM_MS = 2
 SHED_PAUSE_MAXIMUM_MS = 250
+# A server that has just started takes about twice as long for each request.
+COLD_SHARE = 0.5
 # A load report says little once the requests that it counted are over.
 LOAD_REPORT_VALID_MS = 250
 
@@ -146,7 +148,12 @@
         try:
             with anyio.fail_after(remaining_s):
                 return await self.connections.send(
-                    server.row.address, request, attempt_id, deadline_ms, fresh=fresh
+                    server.row.address,
+                    request,
+                    attempt_id,
+                    deadline_ms,
+                    fresh=fresh,
+                    expected=server.row.name,
                 )
         except TimeoutError as error:
             self.evidence.fail(attempt, Bad.OVERDUE)
@@ -166,6 +173,15 @@
         now_ms = monotonic_ms()
         answer, server = exchange.answer, exchange.server
         self._note_reports(server, exchange.attempt, answer, now_ms)
+        if answer.is_misdirected:
+            # The address belongs to another server; this one is gone.
+            server.is_listed_leaving = True
+            raise CinderwayError(
+                ErrorCode.BACKEND_MISDIRECTED,
+                "another server has the address now",
+                step=Step.AWAIT_ANSWER,
+                peer=server.row.address,
+            )
         if answer.is_shed:
             self.sheds += 1
             server.pause_until_ms = now_ms + self._shed_pause_ms(service)
@@ -187,12 +203,9 @@
         if answer.header(DRAIN_HEADER) is not None:
             server.draining_until_ms = now_ms + DRAIN_VALID_MS
             self.evidence.drain_seen(attempt)
-        load = answer.header(LOAD_HEADER)
-        if load is None:
-            return
-        in_use, _, slots = load.partition(b"/")
-        if in_use.isdigit() and slots.isdigit() and int(slots) > 0:
-            server.reported_load = int(in_use) / int(slots)
+        reported = parse_load(answer.header(answer.names.load))
+        if reported is not None:
+            server.reported_load = reported
             server.load_reported_at_ms = now_ms
 
     def _shed_pause_ms(self, service: ServiceState) -> int:
@@ -229,10 +242,11 @@
             for server, limit in self._subset(usable_servers(service))
             if server.in_flight < limit and server.pause_until_ms <= now_ms
         ]
-        chosen = choose(candidates, self.board.data_hall, self.board.rng, exclude)
+        hall, rng, penalty = self.board.data_hall, self.board.rng, service.hall_penalty
+        chosen = choose(candidates, hall, rng, exclude, penalty)
         if chosen is None and exclude:
             # Every other server was tried already: a second try beats none.
-            chosen = choose(candidates, self.board.data_hall, self.board.rng)
+            chosen = choose(candidates, hall, rng, (), penalty)
         return service.servers[chosen.name] if chosen else None
 
     def _subset(self, usable: list[ServerState]) -> list[tuple[ServerState, int]]:
@@ -263,7 +277,8 @@
             slots=server.row.slots,
             in_flight=server.in_flight,
             reported_load=server.reported_load if is_fresh else 0.0,
-            share=server.share,
+            is_suspect=now_ms < server.suspect_until_ms,
+            share=server.share * (COLD_SHARE if now_ms < server.warm_until_ms else 1),
         )
 
     def _next_change_ms(
@@ -290,6 +305,18 @@
         )
 
 
+def parse_load(text: bytes | None) -> float | None:
+    """Return the share of slots in use, over 1 with a queue; None if not told.
+
+    Read are "running/slots" and "running,waiting,slots".
+    """
+    numbers = re.split(rb"[,/]", text or b"")
+    if len(numbers) not in (2, 3) or not all(part.isdigit() for part in numbers):
+        return None
+    *busy, slots = [int(part) for part in numbers]
+    return sum(busy) / slots if slots else None
+
+
 def usable_servers(service: ServiceState) -> list[ServerState]:
     """Return the servers that may get new work."""
     now_ms = monotonic_ms()
--- a/src/cinderway/entry/_outcomes.py
+++ b/src/cinderway/entry/_outcomes.py
@@ -28,7 +28,7 @@
 
 def outcome_of_attempt(error: CinderwayError) -> Resolution:
     """Say whether a failed attempt's request may have run."""
-    if error.code is ErrorCode.BACKEND_SHED:
+    if error.code in (ErrorCode.BACKEND_SHED, ErrorCode.BACKEND_MISDIRECTED):
         return Resolution.NOT_RUN
     if error.step in (Step.QUEUE, Step.ROUTE, Step.CONNECT):
         return Resolution.NOT_RUN
--- a/src/cinderway/entry/_race.py
+++ b/src/cinderway/entry/_race.py
@@ -5,7 +5,9 @@
 import anyio
 
 from cinderway._errors import CinderwayError
+from cinderway.entry._outcomes import outcome_of_attempt
 from cinderway.entry._relay import WholeAnswer
+from cinderway.ledger import Resolution
 
 SERVER_ERROR = 500
 
@@ -39,7 +41,9 @@
         try:
             answer = await attempt()
         except CinderwayError as error:
-            self._error = error
+            # If any of the attempts may have run, that is what the caller must hear.
+            if self._error is None or outcome_of_attempt(error) is Resolution.UNKNOWN:
+                self._error = error
         else:
             if self._answer is None or self._answer.status >= SERVER_ERROR:
                 self._answer = answer
--- a/src/cinderway/entry/_relay.py
+++ b/src/cinderway/entry/_relay.py
@@ -57,7 +57,8 @@
     body = b"".join(parts)
     length = answer.header(b"content-length")
     announced = length if not body and length not in (None, b"0") else None
-    return WholeAnswer(answer.status, forwarded(answer.headers), body, announced)
+    headers = forwarded(_lower(answer.headers), answer.names)
+    return WholeAnswer(answer.status, headers, body, announced)
 
 
 async def next_chunk(chunks, exchange: Exchange, stall_timeout_ms: int) -> bytes | None:
--- a/src/cinderway/entry/_reply.py
+++ b/src/cinderway/entry/_reply.py
@@ -50,7 +50,8 @@
 
     async def begin(self, answer: BackendAnswer) -> None:
         """Send the head of a streamed answer."""
-        headers = forwarded([(n.lower(), v) for n, v in answer.headers])
+        lower = [(name.lower(), value) for name, value in answer.headers]
+        headers = forwarded(lower, answer.names)
         length = answer.header(b"content-length")
         if length is not None:
             headers.append((b"content-length", length))
--- a/src/cinderway/entry/_requests.py
+++ b/src/cinderway/entry/_requests.py
@@ -1,18 +1,26 @@
 """A caller's request, read from ASGI."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 import xxhash
 
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway._ids import CallerName
-from cinderway.entry._backends import DEADLINE_HEADER, BackendRequest, Headers
+from cinderway._ids import AttemptId, CallerName, ServerName
+from cinderway.entry._backends import (
+    DEADLINE_HEADER,
+    OWN_NAMES,
+    BackendRequest,
+    HeaderNames,
+    Headers,
+)
 from cinderway.routing import RouteMatch
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 KEY_HEADER = b"idempotency-key"
 KEY_LIMIT_BYTES = 255
+# Servers that one request may reach where nothing else is said.
+ATTEMPT_LIMIT = 4
 # Source: RFC 9110, section 7.6.1. These concern one connection only.
 HOP_BY_HOP = frozenset(
     {
@@ -49,6 +57,11 @@
     deadline_ms: int
     body: bytes
     backend_request: BackendRequest
+    # The caller's own name of this try, where callers give one.
+    attempt_id: AttemptId | None = None
+    # How many servers may get it, and those that did.
+    server_limit: int = ATTEMPT_LIMIT
+    tried: set[ServerName] = field(default_factory=set)
 
     def header(self, name: bytes) -> bytes | None:
         """Return a header's value, or None."""
@@ -98,12 +111,19 @@
     return xxhash.xxh3_128_digest(b"\0".join(parts))
 
 
-def backend_request_of(scope: dict, body: bytes) -> BackendRequest:
+def backend_request_of(
+    scope: dict, body: bytes, names: HeaderNames = OWN_NAMES
+) -> BackendRequest:
     """Return what goes to the backend server."""
     target = scope["raw_path"]
     if scope["query_string"]:
         target += b"?" + scope["query_string"]
-    headers = forwarded(scope["headers"])
+    # The attempt's name is set anew for each send.
+    headers = [
+        (name, value)
+        for name, value in forwarded(scope["headers"], names)
+        if name != names.attempt
+    ]
     if body or scope["method"] not in ("GET", "HEAD", "OPTIONS"):
         headers.append((b"content-length", str(len(body)).encode()))
     if find_header(headers, b"host") is None:
@@ -111,8 +131,9 @@
     return BackendRequest(scope["method"].encode(), target, headers, body)
 
 
-def forwarded(headers: Headers) -> Headers:
+def forwarded(headers: Headers, names: HeaderNames = OWN_NAMES) -> Headers:
     """Return the headers that go on to the other side."""
+    own = {names.deadline, names.expected, names.not_run, names.load}
     named = find_header(headers, b"connection") or b""
     also_dropped = {name.strip().lower() for name in named.split(b",")}
     return [
@@ -120,7 +141,8 @@
         for name, value in headers
         if name not in HOP_BY_HOP
         and name not in also_dropped
-        and not name.startswith(OWN_HEADER_PREFIX)
+        and name not in own
+        and (names.passes_own or not name.startswith(OWN_HEADER_PREFIX))
     ]
 
 
--- /dev/null
+++ b/src/cinderway/entry/_route_handler.py
@@ -0,0 +1,213 @@
+"""The callers' side of an entry that serves by the catalog's route sheet."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import anyio
+
+from cinderway._clock import monotonic_ms
+from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._ids import AttemptId, CallerName, ServiceName
+from cinderway._operators import Metrics
+from cinderway.catalog import RouteRow, pick_service
+from cinderway.entry._answers import problem_answer
+from cinderway.entry._attempts import Attempts
+from cinderway.entry._backends import HeaderNames
+from cinderway.entry._catalog_board import CatalogBoard
+from cinderway.entry._outcomes import OutcomeError
+from cinderway.entry._reply import Reply, Send
+from cinderway.entry._requests import (
+    CallerLeftError,
+    CallerRequest,
+    backend_request_of,
+    find_header,
+    read_body,
+)
+from cinderway.ledger import Resolution
+
+logger = logging.getLogger(__name__)
+
+Receive = Callable[[], Awaitable[dict]]
+
+# Spread, so that callers told to come back do not come together.
+RETRY_AFTER_MINIMUM_S = 0.2
+RETRY_AFTER_SPREAD_S = 0.4
+DEFAULT_SERVER_LIMIT = 2
+
+
+@dataclass
+class RouteHandler:
+    """Serves callers on one entry."""
+
+    state: CatalogBoard
+    attempts: Attempts
+    names: HeaderNames
+    metrics: Metrics
+
+    async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
+        """Serve one request, from its route to its final answer."""
+        if scope["type"] != "http":
+            return
+        board = self.state.board
+        reply = Reply(send, board)
+        served = _Served(
+            monotonic_ms(), find_header(scope["headers"], self.names.attempt)
+        )
+        board.in_flight += 1
+        self.state.note_activity()
+        try:
+            await self._serve(scope, receive, reply, served)
+        except CallerLeftError:
+            reply.outcome = "caller-left"
+        except OutcomeError as error:
+            served.error = error.error
+            await self._refuse(reply, error.error, error.outcome)
+        except CinderwayError as error:
+            served.error = error
+            await self._refuse(reply, error, Resolution.NOT_RUN)
+        except Exception:
+            logger.exception("a request failed in an unforeseen way")
+            raise
+        finally:
+            board.in_flight -= 1
+            self._note(served, reply)
+
+    async def _refuse(
+        self, reply: Reply, error: CinderwayError, outcome: Resolution
+    ) -> None:
+        spread_s = RETRY_AFTER_SPREAD_S * self.state.board.rng.random()
+        after_s = round(RETRY_AFTER_MINIMUM_S + spread_s, 2)
+        await reply.own(problem_answer(error, outcome, after_s))
+
+    async def _serve(
+        self, scope: dict, receive: Receive, reply: Reply, served: "_Served"
+    ) -> None:
+        served.route = route = self._route_of(scope)
+        deadline_ms = self._deadline_of(scope, route, served.started_at_ms)
+        limits = self.state.mirror.sheet.limits
+        with anyio.move_on_after((deadline_ms - monotonic_ms()) / 1000) as reading:
+            body = await read_body(receive, limits.body_limit_bytes)
+        if reading.cancelled_caught:
+            raise CinderwayError(
+                ErrorCode.DEADLINE_PASSED,
+                "the request's body did not come in time",
+                step=Step.RECEIVE,
+            )
+        served.service = pick_service(route, self.state.board.rng)
+        attempt_id = served.attempt_id
+        request = CallerRequest(
+            method=scope["method"],
+            path=scope["path"],
+            headers=scope["headers"],
+            caller=CallerName(""),
+            deadline_ms=deadline_ms,
+            body=body,
+            backend_request=backend_request_of(scope, body, self.names),
+            attempt_id=AttemptId(attempt_id) if attempt_id else None,
+            server_limit=route.server_limit or DEFAULT_SERVER_LIMIT,
+        )
+        served.request = request
+        await self._attempt(route, served.service, request, receive, reply)
+
+    def _route_of(self, scope: dict) -> RouteRow:
+        if self.state.routes is None:
+            raise CinderwayError(
+                ErrorCode.TABLE_UNKNOWN,
+                "this entry does not know the route sheet yet",
+                step=Step.ROUTE,
+            )
+        host = find_header(scope["headers"], b"host") or b""
+        # The path as sent: a decoded one could name another place.
+        path = scope["raw_path"].decode("latin-1")
+        route = self.state.routes.match(host.decode("latin-1"), path)
+        if route is None:
+            raise CinderwayError(
+                ErrorCode.UNKNOWN_ROUTE,
+                f"no route for {host.decode('latin-1')} {path}",
+                step=Step.ROUTE,
+            )
+        return route
+
+    def _deadline_of(self, scope: dict, route: RouteRow, now_ms: int) -> int:
+        text = find_header(scope["headers"], self.names.deadline)
+        timeout_ms = route.timeout_ms
+        if text is not None and text.isdigit():
+            timeout_ms = min(timeout_ms, int(text))
+        return now_ms + timeout_ms
+
+    async def _attempt(
+        self,
+        route: RouteRow,
+        service: ServiceName,
+        request: CallerRequest,
+        receive: Receive,
+        reply: Reply,
+    ) -> None:
+        failure: Exception | None = None
+        state = self.state.board.services[service]
+        async with anyio.create_task_group() as tasks:
+            scope = tasks.cancel_scope
+            tasks.start_soon(_watch_caller, receive, scope, route, request)
+            try:
+                answer = await self.attempts.whole_answer(
+                    state, request, route.is_repeatable
+                )
+                await reply.whole(answer)
+            except (CinderwayError, OutcomeError) as error:
+                failure = error
+            scope.cancel()
+        if failure is not None:
+            raise failure
+        if reply.first_byte_ms is None:
+            raise CallerLeftError
+
+    def _note(self, served: "_Served", reply: Reply) -> None:
+        now_ms = monotonic_ms()
+        duration_ms = now_ms - served.started_at_ms
+        route = served.route.name if served.route else "none"
+        labels = {"route": route, "outcome": reply.outcome}
+        self.metrics.count("requests_total", labels)
+        self.metrics.observe("request_seconds", duration_ms / 1000, {"route": route})
+        error = served.error
+        logger.info(
+            "request %s: %s in %d ms; route %s, service %s, servers %s, "
+            "catalog %d known %d ms ago%s",
+            served.attempt_id or "unnamed",
+            reply.outcome,
+            duration_ms,
+            route,
+            served.service or "none",
+            ",".join(served.request.tried) if served.request else "none",
+            self.state.mirror.revision,
+            self.state.age_ms(now_ms),
+            f"; {error}" if error else "",
+        )
+
+
+class _Served:
+    """What became of one request, for its log line."""
+
+    def __init__(self, started_at_ms: int, attempt_header: bytes | None):
+        self.started_at_ms = started_at_ms
+        self.attempt_id = (attempt_header or b"").decode("latin-1")
+        self.route: RouteRow | None = None
+        self.service: ServiceName | None = None
+        self.request: CallerRequest | None = None
+        self.error: CinderwayError | None = None
+
+
+async def _watch_caller(
+    receive: Receive, scope: anyio.CancelScope, route: RouteRow, request: CallerRequest
+) -> None:
+    """Give a request up when its caller leaves, unless it may not run again.
+
+    One that may run once only is seen to its end when a server has got it; while it
+    still waits for a server it is given up too.
+    """
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            break
+    if route.is_repeatable or not request.tried:
+        scope.cancel()
--- a/src/cinderway/entry/_stream.py
+++ b/src/cinderway/entry/_stream.py
@@ -5,7 +5,7 @@
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError
 from cinderway._ids import ServerName
-from cinderway.entry._attempts import ATTEMPT_LIMIT, SERVER_ERROR, Attempts
+from cinderway.entry._attempts import SERVER_ERROR, Attempts
 from cinderway.entry._blackboard import ServiceState
 from cinderway.entry._dispatch import Exchange
 from cinderway.entry._outcomes import (
@@ -15,7 +15,7 @@
 )
 from cinderway.entry._relay import Download, next_chunk
 from cinderway.entry._reply import Reply
-from cinderway.entry._requests import CallerRequest
+from cinderway.entry._requests import ATTEMPT_LIMIT, CallerRequest
 from cinderway.judgement import Bad
 
 
--- a/src/cinderway/judgement/__init__.py
+++ b/src/cinderway/judgement/__init__.py
@@ -28,6 +28,7 @@
 from cinderway.judgement._judge import DRAIN_VALID_MS, ServiceJudge
 from cinderway.judgement._merge import Agreed, HeldSheet, merge_sheets, service_norms
 from cinderway.judgement._record import is_out
+from cinderway.judgement._suspicion import Suspicions
 
 __all__ = [
     "DRAIN_VALID_MS",
@@ -50,6 +51,7 @@
     "ServiceJudge",
     "ServiceNormal",
     "Standing",
+    "Suspicions",
     "VerdictSheet",
     "assessors_of",
     "evidence_from",
--- a/src/cinderway/judgement/_evidence.py
+++ b/src/cinderway/judgement/_evidence.py
@@ -5,6 +5,7 @@
 already (censored evidence): detection must not wait for a timeout.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -73,6 +74,8 @@
         self._counts: dict[tuple[ServiceName, ServerName], ServerCounts] = {}
         self._in_flight: set[Attempt] = set()
         self._normal_ms: dict[ServiceName, float] = {}
+        # Called with each bad observation's server, for those that must not wait.
+        self.on_bad: Callable[[ServerName], None] | None = None
 
     def set_normal(self, service: ServiceName, normal_ms: float) -> None:
         """Take the service's normal time, as pooled over the fleet."""
@@ -180,6 +183,8 @@
     def _bad(self, attempt: Attempt, kind: Bad) -> None:
         bad = self._counts_of(attempt).bad
         bad[kind] = bad.get(kind, 0) + 1
+        if self.on_bad is not None:
+            self.on_bad(attempt.server)
 
     def _counts_of(self, attempt: Attempt) -> ServerCounts:
         key = (attempt.service, attempt.server)
--- a/src/cinderway/limits/_retry_budget.py
+++ b/src/cinderway/limits/_retry_budget.py
@@ -8,17 +8,24 @@
 class RetryBudget:
     """Each first attempt earns a fraction of a retry.
 
-    Guarantee: after n first attempts, at most INITIAL_TOKENS + n * percent / 100
-    retries were ever spent here. As every entry keeps to it, so does the fleet.
+    Guarantee: after n first attempts, at most `initial` + n * percent / 100
+    retries were ever spent here, and in any span of time at most `maximum` plus that
+    share of the span's first attempts. As every entry keeps to it, so does the fleet.
     """
 
-    def __init__(self, percent: int):
+    def __init__(
+        self,
+        percent: int,
+        initial: float = INITIAL_TOKENS,
+        maximum: float = MAXIMUM_TOKENS,
+    ):
         self.percent = percent
-        self._tokens = INITIAL_TOKENS if percent else 0.0
+        self.maximum = maximum
+        self._tokens = min(initial, maximum) if percent else 0.0
 
     def earn(self) -> None:
         """Note a first attempt."""
-        self._tokens = min(self._tokens + self.percent / 100, MAXIMUM_TOKENS)
+        self._tokens = min(self._tokens + self.percent / 100, self.maximum)
 
     def spend(self) -> bool:
         """Take one retry; False if there is none left."""
--- a/src/cinderway/replication/_core.py
+++ b/src/cinderway/replication/_core.py
@@ -64,6 +64,8 @@
     heartbeat_ms: int = 60
     election_min_ms: int = 400
     election_max_ms: int = 800
+    # A voter that is silent for this long makes room once another took its place.
+    replace_silent_ms: int = 5_000
 
 
 @dataclass(frozen=True)
@@ -121,6 +123,7 @@
         timing: Timing,
         rng: random.Random,
         now_ms: int,
+        wanted_voters: int = 0,
     ):
         self.replica_id = replica_id
         self.address = address
@@ -134,6 +137,7 @@
         self._hard_state = hard_state
         self._rng = rng
         self._now_ms = now_ms
+        self._wanted_voters = wanted_voters
         self._persisted_index = log.last_index
         self._handed_out_index = log.snapshot.index
         self._votes: set[ReplicaId] = set()
@@ -173,7 +177,9 @@
         """Members the leader has not heard from for an election timeout."""
         if not self.is_leader:
             return []
-        oldest_ms = self._now_ms - self.timing.election_max_ms
+        return self._silent_since(self._now_ms - self.timing.election_max_ms)
+
+    def _silent_since(self, oldest_ms: int) -> list[ReplicaId]:
         return [
             replica_id
             for replica_id, progress in self.progress.items()
@@ -545,6 +551,7 @@
 
     def _on_join(self, request: JoinRequest) -> None:
         if not self.is_leader:
+            self._pass_on(request)
             return
         if request.cluster_id not in (0, self.membership.cluster_id):
             return
@@ -556,13 +563,35 @@
         self._joining[request.sender] = request.address
         self._advance_membership()
 
+    def _pass_on(self, request: JoinRequest) -> None:
+        # A newcomer knows some members, and the leader need not be among them.
+        leader = self.membership.members.get(self.leader_id)
+        if leader is not None and leader.address != request.address:
+            self._answer(leader.address, request)
+
     def _advance_membership(self) -> None:
         if not self._may_change_membership():
             return
         membership = next_membership(self.membership, self._joining, self._is_caught_up)
+        if membership is None:
+            membership = self._without_replaced()
         if membership is not None:
             self._change_membership(membership)
 
+    def _without_replaced(self) -> Membership | None:
+        """Return the membership without a voter whose place another took, if any.
+
+        Only while there are more voters than wanted: a silent voter that nobody
+        replaced may come back, and keeps its vote.
+        """
+        if not 0 < self._wanted_voters < len(self.membership.voters):
+            return None
+        oldest_ms = self._now_ms - self.timing.replace_silent_ms
+        replaced = self.membership.voters.intersection(self._silent_since(oldest_ms))
+        if not replaced:
+            return None
+        return self.membership.without(min(replaced))
+
     def _may_change_membership(self) -> bool:
         # One change at a time, and none before the leader has committed in its own
         # term: without the second rule two leaders' changes can be made from the
--- a/src/cinderway/replication/_node.py
+++ b/src/cinderway/replication/_node.py
@@ -55,6 +55,9 @@
     peers: tuple[Address, ...]
     timing: Timing = Timing()
     compact_at_bytes: int = 4 * 1024 * 1024
+    tick_s: float = TICK_S
+    # Above this many, a voter that stays silent is taken out; 0: none ever is.
+    wanted_voters: int = 0
 
 
 @dataclass
@@ -107,6 +110,7 @@
             settings.timing,
             random.Random(),
             monotonic_ms(),
+            settings.wanted_voters,
         )
         self._wake = anyio.Event()
         self._applied = anyio.Event()
@@ -196,7 +200,7 @@
             self.core.tick(monotonic_ms())
             self._note_role()
             self._wake.set()
-            await anyio.sleep(TICK_S)
+            await anyio.sleep(self.settings.tick_s)
 
     async def _join(self, links: Links) -> None:
         while not self.core.membership.members:
--- /dev/null
+++ b/src/cinderway/wire/schemas/catalog.capnp
@@ -0,0 +1,90 @@
+@0xb7d1e64a0c93f258;
+# Entries and control replicas about the service catalog.
+
+struct Frame {
+  callId @0 :UInt64;
+  union {
+    findReplicas @1 :FindReplicas;
+    replicasAnswer @2 :ReplicasAnswer;
+    followCatalog @3 :FollowCatalog;
+    catalogUpdate @4 :CatalogUpdate;
+    catalogHeartbeat @5 :CatalogHeartbeat;
+    evidenceBatch @6 :EvidenceBatch;
+    verdictBatch @7 :VerdictBatch;
+    submitCommand @8 :SubmitCommand;
+    done @9 :Done;
+    failure @10 :Failure;
+    suspectServers @11 :SuspectServers;
+  }
+}
+
+struct ReplicaAddress {
+  address @0 :Text;
+  dataHall @1 :Text;
+}
+
+struct FindReplicas {}
+
+struct ReplicasAnswer {
+  replicas @0 :List(ReplicaAddress);
+}
+
+struct FollowCatalog {
+  entry @0 :Text;
+  dataHall @1 :Text;
+  knownRevision @2 :UInt64;
+}
+
+struct CatalogUpdate {
+  baseRevision @0 :UInt64;
+  revision @1 :UInt64;
+  sheet @2 :Data;
+  servers @3 :Data;
+  gone @4 :List(Text);
+}
+
+struct CatalogHeartbeat {
+  leaderAgeMs @0 :UInt32;
+  revision @1 :UInt64;
+  entries @2 :UInt32;
+}
+
+struct EvidenceBatch {
+  entry @0 :Text;
+  dataHall @1 :Text;
+  servers @2 :Data;
+}
+
+struct VerdictLine {
+  service @0 :Text;
+  server @1 :Text;
+  isEjected @2 :Bool;
+  share @3 :Float64;
+  reason @4 :Text;
+  score @5 :Float64;
+}
+
+struct VerdictBatch {
+  lines @0 :List(VerdictLine);
+  normalMs @1 :List(Float64);
+  services @2 :List(Text);
+}
+
+struct SuspectServers {
+  servers @0 :List(Text);
+  forMs @1 :List(UInt32);
+}
+
+struct SubmitCommand {
+  data @0 :Data;
+}
+
+struct Done {}
+
+struct Failure {
+  code @0 :Text;
+  detail @1 :Text;
+  step @2 :Text;
+  peer @3 :Text;
+  leader @4 :Text;
+}
--- /dev/null
+++ b/tests/catalog/test_machine.py
@@ -0,0 +1,162 @@
+import json
+import unittest
+
+from hypothesis import given, strategies as st
+
+from cinderway._ids import Address, DataHall, ServerName, ServiceName
+from cinderway.catalog import (
+    CatalogMachine,
+    CatalogMirror,
+    Deregister,
+    InstallSheet,
+    Register,
+    RegisteredServer,
+    ServerStatus,
+    encode_command,
+)
+
+
+def server(number, status=ServerStatus.ACTIVE, address=None):
+    return RegisteredServer(
+        ServerName(f"i-{number}"),
+        ServiceName("lookup"),
+        Address(f"10.0.0.{address or number}:80"),
+        DataHall("suva"),
+        3,
+        status,
+    )
+
+
+def body(version, timeout_ms=1000):
+    route = {
+        "name": "r",
+        "host": "a.example",
+        "path_prefix": "/p/",
+        "timeout_ms": timeout_ms,
+        "service": "lookup",
+    }
+    services = [{"name": "lookup"}]
+    content = {"version": version, "routes": [route], "services": services}
+    return json.dumps(content).encode()
+
+
+commands = st.one_of(
+    st.builds(
+        lambda n, s, a: Register(server(n, s, a)),
+        st.integers(1, 5),
+        st.sampled_from(ServerStatus),
+        st.integers(1, 3),
+    ),
+    st.builds(lambda n: Deregister(ServerName(f"i-{n}")), st.integers(1, 5)),
+    st.builds(lambda v: InstallSheet(body(v)), st.integers(1, 9)),
+)
+
+
+class Catalog:
+    """A machine that is given its commands one log index after the other."""
+
+    def __init__(self):
+        self.machine = CatalogMachine()
+        self.index = 0
+
+    def apply(self, command):
+        self.index += 1
+        return self.machine.apply(self.index, encode_command(command))
+
+
+class SheetVersionTests(unittest.TestCase):
+    def setUp(self):
+        self.catalog = Catalog()
+
+    def test_the_highest_version_wins(self):
+        self.assertTrue(self.catalog.apply(InstallSheet(body(4))).is_changed)
+        self.assertFalse(self.catalog.apply(InstallSheet(body(2))).is_changed)
+        self.assertEqual(self.catalog.machine.sheet.version, 4)
+
+    def test_other_content_under_the_version_held_is_never_in_force(self):
+        self.catalog.apply(InstallSheet(body(4, timeout_ms=1000)))
+        self.catalog.apply(InstallSheet(body(4, timeout_ms=9000)))
+        self.assertEqual(self.catalog.machine.sheet.routes[0].timeout_ms, 1000)
+        self.assertEqual(self.catalog.machine.sheet_body, body(4, timeout_ms=1000))
+
+
+class RegistryTests(unittest.TestCase):
+    def setUp(self):
+        self.catalog = Catalog()
+
+    @property
+    def servers(self):
+        return self.catalog.machine.registry.servers
+
+    def test_a_leaving_server_does_not_become_active_by_a_late_heartbeat(self):
+        self.catalog.apply(Register(server(1)))
+        self.catalog.apply(Register(server(1, ServerStatus.LEAVING)))
+        self.catalog.apply(Register(server(1)))
+        self.assertIs(self.servers["i-1"].status, ServerStatus.LEAVING)
+
+    def test_a_server_that_left_does_not_come_back_by_a_late_heartbeat(self):
+        self.catalog.apply(Register(server(1)))
+        self.catalog.apply(Deregister(ServerName("i-1")))
+        self.catalog.apply(Register(server(1)))
+        self.assertEqual(self.servers, {})
+
+    def test_a_server_that_left_before_it_was_known_stays_out(self):
+        self.catalog.apply(Deregister(ServerName("i-1")))
+        self.catalog.apply(Register(server(1)))
+        self.assertEqual(self.servers, {})
+
+    def test_a_new_server_at_an_address_replaces_the_former_one(self):
+        self.catalog.apply(Register(server(1)))
+        self.catalog.apply(Register(server(2, address=1)))
+        self.assertEqual(list(self.servers), ["i-2"])
+
+    @given(st.lists(commands, max_size=30))
+    def test_no_two_servers_have_one_address_and_none_that_left_is_there(self, given):
+        self.catalog = Catalog()
+        for command in given:
+            self.catalog.apply(command)
+        addresses = [found.address for found in self.servers.values()]
+        self.assertEqual(len(addresses), len(set(addresses)))
+        self.assertFalse(self.servers.keys() & self.catalog.machine.registry.gone)
+
+
+class MirrorTests(unittest.TestCase):
+    @given(st.lists(commands, max_size=30), st.sets(st.integers(0, 30)))
+    def test_a_mirror_that_follows_now_and_then_holds_the_same(self, given, looks):
+        catalog, mirror = Catalog(), CatalogMirror()
+        for step, command in enumerate(given):
+            catalog.apply(command)
+            if step in looks:
+                mirror.install(catalog.machine.update_since(mirror.revision))
+        mirror.install(catalog.machine.update_since(mirror.revision))
+        self.assertEqual(mirror.servers, catalog.machine.registry.servers)
+        self.assertEqual(mirror.sheet, catalog.machine.sheet)
+
+    @given(st.lists(commands, max_size=30), st.integers(0, 30))
+    def test_a_restored_snapshot_continues_the_same(self, given, cut):
+        whole, first, second = Catalog(), Catalog(), Catalog()
+        for command in given[:cut]:
+            whole.apply(command)
+            first.apply(command)
+        second.machine.restore(first.machine.freeze()())
+        second.index = first.index
+        for command in given[cut:]:
+            whole.apply(command)
+            second.apply(command)
+        self.assertEqual(whole.machine.update_since(0), second.machine.update_since(0))
+
+    def test_an_older_update_is_not_installed(self):
+        catalog, mirror = Catalog(), CatalogMirror()
+        catalog.apply(InstallSheet(body(1)))
+        older = catalog.machine.update_since(0)
+        catalog.apply(InstallSheet(body(2)))
+        self.assertTrue(mirror.install(catalog.machine.update_since(0)))
+        self.assertFalse(mirror.install(older))
+        self.assertEqual(mirror.sheet.version, 2)
+
+    def test_an_update_that_skips_what_is_not_known_is_not_installed(self):
+        catalog, mirror = Catalog(), CatalogMirror()
+        catalog.apply(Register(server(1)))
+        catalog.apply(Register(server(2)))
+        self.assertFalse(mirror.install(catalog.machine.update_since(1)))
+        self.assertEqual(mirror.servers, {})
--- /dev/null
+++ b/tests/entry/test_race.py
@@ -0,0 +1,53 @@
+import unittest
+
+import anyio
+
+from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway.entry._race import race
+from cinderway.entry._relay import WholeAnswer
+
+
+def failure(step):
+    return CinderwayError(ErrorCode.BACKEND_FAILED, "failed", step=step)
+
+
+def answer(status):
+    return WholeAnswer(status, [], b"")
+
+
+def run_race(*results, is_hedged=True):
+    """Race attempts that end at once with the given results, one after the other."""
+    remaining = list(results)
+
+    async def attempt():
+        result = remaining.pop(0)
+        if isinstance(result, Exception):
+            # The last one ends first: what wins must not depend on the order.
+            await anyio.sleep(0.01 * len(remaining))
+            raise result
+        return result
+
+    async def start():
+        return await race(attempt, 0, lambda: is_hedged)
+
+    return anyio.run(start)
+
+
+class RaceTests(unittest.TestCase):
+    def test_a_good_answer_wins(self):
+        self.assertEqual(run_race(answer(200)).status, 200)
+
+    def test_a_single_failed_attempt_raises_its_error(self):
+        for step in (Step.AWAIT_ANSWER, Step.CONNECT):
+            with self.assertRaises(CinderwayError) as caught:
+                run_race(failure(step), is_hedged=False)
+            self.assertIs(caught.exception.step, step)
+
+    def test_an_attempt_that_may_have_run_is_told_before_one_that_has_not(self):
+        for steps in (
+            (Step.AWAIT_ANSWER, Step.CONNECT),
+            (Step.CONNECT, Step.AWAIT_ANSWER),
+        ):
+            with self.assertRaises(CinderwayError) as caught:
+                run_race(failure(steps[0]), failure(steps[1]))
+            self.assertIs(caught.exception.step, Step.AWAIT_ANSWER)
