--- /dev/null
+++ b/tests/system/test_catalog.py
@@ -0,0 +1,219 @@
+"""An entry and control replicas that serve by the catalog, as real processes."""
+
+import json
+import signal
+import threading
+import unittest
+
+from standins.catalog_fleet import CatalogFleet, RegisteredServer, call, wait_for
+
+
+def route(name, kind="repeatable", service="lookup", **fields):
+    return {
+        "name": name,
+        "host": "a.example",
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 1500,
+        "objective_ms": 1000,
+        "service": service,
+        "server_limit": 2,
+        **fields,
+    }
+
+
+def sheet(version, *routes):
+    services = [{"name": name} for name in ("lookup", "submit")]
+    return {"version": version, "routes": list(routes), "services": services}
+
+
+FIRST = sheet(
+    1, route("look"), route("once", kind="once", service="submit", timeout_ms=2000)
+)
+
+
+class CatalogCase(unittest.TestCase):
+    entries = 1
+
+    def setUp(self):
+        self.fleet = CatalogFleet(entries=self.entries)
+        self.addCleanup(self.fleet.stop)
+        self.servers = {
+            name: RegisteredServer(f"i-{name}", service)
+            for name, service in (
+                ("look1", "lookup"),
+                ("look2", "lookup"),
+                ("sub1", "submit"),
+                ("sub2", "submit"),
+            )
+        }
+        for server in self.servers.values():
+            self.addCleanup(server.stop)
+        self.fleet.start()
+        self.assertEqual(self.fleet.put_sheet(FIRST), 200)
+        for server in self.servers.values():
+            self.fleet.register(server)
+        self.fleet.wait_ready()
+        self.ask_until(200, "/look/1", "warm-up-1")
+        self.ask_until(200, "/once/1", "warm-up-2", "POST")
+        for server in self.servers.values():
+            server.runs.clear()
+
+    def ask(self, path, attempt, method="GET", body=b"", **headers):
+        headers = {name.replace("_", "-"): value for name, value in headers.items()}
+        all_headers = {"host": "a.example", "cinderway-attempt": attempt, **headers}
+        return call(self.fleet.callers[0], method, path, body, all_headers)
+
+    def ask_until(self, status, path, attempt, method="GET"):
+        wait_for(
+            lambda: self.ask(path, attempt, method).status == status,
+            f"{status} for {path}",
+        )
+
+    def runs(self, attempt):
+        return sum(server.runs.count(attempt) for server in self.servers.values())
+
+
+class ServingTests(CatalogCase):
+    def test_a_request_gets_its_servers_whole_answer(self):
+        answer = self.ask("/look/x?y=1", "a1", cinderway_deadline_ms="700")
+        self.assertEqual((answer.status, answer.body), (200, b"whole answer"))
+        self.assertEqual(answer.headers["cinderway-attempt"], "a1")
+        self.assertIn("cinderway-seal", answer.headers)
+        deadlines_ms = [
+            server.deadlines_ms[-1] for server in self.servers.values() if server.runs
+        ]
+        self.assertLessEqual(deadlines_ms[0], 700)
+
+    def test_a_path_without_a_route_is_not_found(self):
+        self.assertEqual(self.ask("/none/x", "a2").status, 404)
+
+    def test_a_failed_repeatable_request_goes_to_another_server(self):
+        failing = {"look1", "look2"}
+        self.servers["look1"].behave = lambda attempt: 500 if failing else 200
+        self.servers["look2"].behave = lambda attempt: 200
+        for number in range(4):
+            answer = self.ask("/look/x", f"b{number}")
+            self.assertEqual(answer.status, 200)
+
+    def test_a_request_that_may_run_once_is_not_sent_again_after_a_failure(self):
+        for kind in ("drop", 500, "foreign"):
+            with self.subTest(kind):
+                for name in ("sub1", "sub2"):
+                    self.servers[name].behave = lambda attempt, kind=kind: kind
+                attempt = f"once-{kind}"
+                answer = self.ask("/once/x", attempt, "POST", b"pay")
+                self.assertIn(answer.status, (500, 502))
+                self.assertEqual(self.runs(attempt), 1)
+
+    def test_a_request_that_a_server_did_not_run_goes_to_another(self):
+        self.servers["sub1"].behave = lambda attempt: "shed"
+        for number in range(3):
+            answer = self.ask("/once/x", f"shed-{number}", "POST", b"pay")
+            self.assertIn(answer.status, (200, 503))
+            self.assertEqual(self.runs(f"shed-{number}"), int(answer.status == 200))
+
+    def test_a_request_that_no_server_ran_says_so_and_when_to_come_back(self):
+        for name in ("sub1", "sub2"):
+            self.servers[name].behave = lambda attempt: "shed"
+        answer = self.ask("/once/x", "none", "POST", b"pay")
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["retry-after"]), 0)
+        self.assertNotIn("cinderway-seal", answer.headers)
+        self.assertEqual(self.runs("none"), 0)
+
+    def test_a_request_without_an_answer_in_time_ends_without_a_promise(self):
+        release = threading.Event()
+        self.addCleanup(release.set)
+        for name in ("sub1", "sub2"):
+            self.servers[name].behave = lambda attempt: release.wait(10) and 200
+        self.assertEqual(self.ask("/once/x", "late", "POST", b"pay").status, 504)
+
+    def test_each_request_leaves_a_line_with_its_inputs(self):
+        self.ask("/look/x", "logged-1")
+        line = wait_for(
+            lambda: [
+                text
+                for text in self.fleet.log_of("entry-0").splitlines()
+                if "logged-1" in text
+            ],
+            "a log line",
+        )[0]
+        for part in ("answered", "route look", "service lookup", "catalog"):
+            self.assertIn(part, line)
+
+
+class ChangeTests(CatalogCase):
+    def test_a_new_sheet_is_in_force_and_an_older_one_changes_nothing(self):
+        self.fleet.put_sheet(sheet(5, route("new")))
+        self.ask_until(200, "/new/x", "c1")
+        self.assertEqual(self.fleet.put_sheet(sheet(3, route("look"))), 200)
+        self.assertEqual(self.ask("/look/x", "c2").status, 404)
+        self.assertEqual(json.loads(self.fleet.read_sheet())["version"], 5)
+
+    def test_a_sheet_that_cannot_be_read_is_refused_and_changes_nothing(self):
+        for body in (b"", b"{", json.dumps(sheet(9, route("x", host=""))).encode()):
+            answer = call(self.fleet.controls[0], "PUT", "/v1/sheet", body)
+            self.assertEqual(answer.status, 400)
+        self.assertEqual(json.loads(self.fleet.read_sheet())["version"], 1)
+
+    def test_a_heartbeat_that_cannot_be_read_is_refused(self):
+        server = self.servers["look1"]
+        for wrong in ({"slots": "3"}, {"status": "gone"}, {"service": None}):
+            answer = server.heartbeat(self.fleet.controls[0], **wrong)
+            self.assertEqual(answer.status, 400)
+
+    def test_a_leaving_server_gets_nothing_after_the_word_has_gone_round(self):
+        leaving = self.servers["sub1"]
+        self.fleet.register(leaving, "leaving")
+        revision = f"{len(self.servers)} backend servers"
+        wait_for(lambda: self.fleet.log_of("entry-0").count(revision) >= 2, "the word")
+        leaving.runs.clear()
+        for number in range(10):
+            self.assertEqual(self.ask("/once/x", f"d{number}", "POST").status, 200)
+        self.assertEqual(leaving.runs, [])
+
+    def test_a_server_whose_address_is_anothers_now_gets_nothing(self):
+        self.servers["sub1"].server_id = "i-other"
+        self.servers["sub1"].service = "lookup"
+        for number in range(6):
+            answer = self.ask("/once/x", f"e{number}", "POST")
+            self.assertEqual(answer.status, 200)
+        self.assertEqual(self.servers["sub1"].runs, [])
+
+
+class LossTests(CatalogCase):
+    def test_entries_serve_while_control_is_away(self):
+        for number in range(3):
+            self.fleet.kill(f"control-{number}")
+        for number in range(5):
+            self.assertEqual(self.ask("/look/x", f"f{number}").status, 200)
+
+    def test_what_was_acknowledged_is_there_after_all_replicas_were_killed(self):
+        self.fleet.put_sheet(sheet(7, route("seven")))
+        for number in range(3):
+            self.fleet.kill(f"control-{number}")
+        for number in range(3):
+            self.fleet.start_control(number)
+        self.assertEqual(json.loads(self.fleet.read_sheet())["version"], 7)
+        self.ask_until(200, "/seven/x", "g1")
+
+    def test_a_stopping_entry_ends_its_requests_first(self):
+        release = threading.Event()
+        for name in ("sub1", "sub2"):
+            self.servers[name].behave = lambda attempt: release.wait(10) and 200
+        answers = []
+        asking = threading.Thread(
+            target=lambda: answers.append(self.ask("/once/x", "h1", "POST"))
+        )
+        asking.start()
+        wait_for(lambda: any(s.deadlines_ms for s in self.servers.values()), "a send")
+        self.fleet.signal("entry-0", signal.SIGTERM)
+        wait_for(
+            lambda: call(self.fleet.operators[0], "GET", "/readyz").status == 503,
+            "an entry that is not ready",
+        )
+        release.set()
+        asking.join()
+        self.assertEqual(answers[0].status, 200)
+        self.assertEqual(self.fleet.processes["entry-0"].wait(20), 0)
