catalog: a hall's entries share their retry budget; settings change without a restart

Ruled out: a larger share for each entry alone: the sum over 36 would break the budget. Change: `RetryPool` at the hall's control replica grants retries to its entries; without a replica an entry has 5% of its own. Suspects go to all halls' replicas. `SettingsWatch` takes over changed seeds, at SIGHUP and every two seconds; nonsense changes nothing.

--- a/src/cinderway/_settings.py
+++ b/src/cinderway/_settings.py
@@ -70,14 +70,18 @@
             text = declared.default
         if text is REQUIRED:
             raise _invalid(name, "nothing", declared.allowed)
-        try:
-            values[name] = declared.parse(text)
-        except (ValueError, KeyError):
-            shown = "a value" if "key" in name else repr(text)
-            raise _invalid(name, shown, declared.allowed) from None
+        values[name] = _parsed(name, declared, text)
     return kind(**values)
 
 
+def _parsed(name: str, declared: Setting, text: str) -> Any:
+    try:
+        return declared.parse(text)
+    except (ValueError, KeyError):
+        shown = "a value" if "key" in name else repr(text)
+        raise _invalid(name, shown, declared.allowed) from None
+
+
 def with_settings_file(given: dict[str, str | None]) -> dict[str, str | None]:
     """Return the texts given, completed from the settings file that they name.
 
@@ -104,6 +108,18 @@
     return {name: _text_of(value) for name, value in content.items()}
 
 
+def changed_settings(settings: Any, texts: dict[str, str]) -> Any:
+    """Return the settings with the values that a changed file gives.
+
+    Raises CinderwayError with SETTING_INVALID and changes nothing if one is wrong.
+    """
+    values = {}
+    for name, declared in settings_of(type(settings)).items():
+        if name in texts:
+            values[name] = _parsed(name, declared, texts[name])
+    return dataclasses.replace(settings, **values)
+
+
 def _text_of(value: Any) -> str:
     match value:
         case bool():
@@ -382,6 +398,18 @@
         "Ejection leaves a service at least this share of its slots.",
         "70",
     )
+    retry_percent: int = setting(
+        _integer(0, 100),
+        "0 to 100 % of a service's requests",
+        "Second tries and hedges of the entries that follow here, all together.",
+        "10",
+    )
+    retry_burst: float = setting(
+        float,
+        "a number of requests",
+        "Second tries in ten seconds beyond that share, for each such entry.",
+        "1",
+    )
     data_folder: Path = setting(Path, "a folder's path", "Where state is kept.")
     shared_key: bytes = _shared_key()
     operators_listen: Address = _operators()
@@ -423,17 +451,11 @@
         "A stopping entry ends by then, whatever still runs.",
         "60000",
     )
-    retry_percent: int = setting(
+    lone_retry_percent: int = setting(
         _integer(0, 100),
         "0 to 100 % of a service's requests",
-        "Second tries and hedges of this entry never add more than this share.",
-        "10",
-    )
-    retry_burst: float = setting(
-        float,
-        "a number of requests",
-        "Second tries that a service may get at once, beyond that share.",
-        "3",
+        "Second tries of this entry while it has no control replica to share with.",
+        "5",
     )
     attempt_header: bytes = _header(
         "Header by which callers name a try; answers must carry it back.",
--- a/src/cinderway/catalog/_conversation.py
+++ b/src/cinderway/catalog/_conversation.py
@@ -61,11 +61,29 @@
 
 
 class EvidenceBatch(Message, frozen=True):
-    """One entry's observations of backend servers, encoded as MessagePack."""
+    """One entry's observations of backend servers, encoded as MessagePack.
+
+    `first_requests` counts, by service, the requests that came in since the last
+    batch, each once however often it was sent.
+    """
 
     entry: EntryName
     data_hall: DataHall
     servers: bytes
+    services: list[ServiceName]
+    first_requests: list[int]
+
+
+class TakeRetry(Message, frozen=True):
+    """Ask for one retry out of the budget that the hall's entries share."""
+
+    service: ServiceName
+
+
+class RetryAnswer(Message, frozen=True):
+    """Whether the retry may be sent."""
+
+    is_granted: bool
 
 
 class VerdictLine(Message, frozen=True):
@@ -115,6 +133,8 @@
         EvidenceBatch,
         VerdictBatch,
         SuspectServers,
+        TakeRetry,
+        RetryAnswer,
         SubmitCommand,
         Done,
         Failure,
--- a/src/cinderway/control/_catalog_daemon.py
+++ b/src/cinderway/control/_catalog_daemon.py
@@ -4,14 +4,19 @@
 
 import anyio
 
-from cinderway._daemon import log_start, start_operators, wait_for_stop
+from cinderway._daemon import (
+    log_start,
+    start_operators,
+    wait_for_stop,
+)
 from cinderway._http_server import serve_http
 from cinderway._ids import Address
 from cinderway._logging import configure_logging
 from cinderway._settings import CatalogControlSettings
+from cinderway._settings_watch import SettingsWatch
 from cinderway.catalog import AnnounceReplica, CatalogMachine
 from cinderway.control._catalog_http import CatalogHttp
-from cinderway.control._catalog_service import CatalogService
+from cinderway.control._catalog_service import CatalogService, RetryRules
 from cinderway.control._hall_assessor import HallAssessor, JudgementRules
 from cinderway.replication import DataFolder, Node, NodeSettings, Timing
 from cinderway.wire import Identity, serve_connections
@@ -43,10 +48,13 @@
         own,
         least_voters=2 * settings.tolerated_losses + 1,
         assessor=HallAssessor(rules),
+        retries=RetryRules(settings.retry_percent, settings.retry_burst),
     )
     async with anyio.create_task_group() as tasks:
         routes = (node.route, service.route)
         await tasks.start(serve_connections, settings.listen, routes, identity)
+        watch = SettingsWatch(settings, lambda new: _use_seeds(node, new))
+        tasks.start_soon(watch.run)
         tasks.start_soon(node.run)
         tasks.start_soon(service.run)
         await tasks.start(serve_http, settings.http_listen, CatalogHttp(service))
@@ -77,12 +85,21 @@
         folder.close()
 
 
-def _node_settings(settings: CatalogControlSettings) -> NodeSettings:
+def _use_seeds(node: Node, settings: CatalogControlSettings) -> None:
+    node.peers = _peers_of(settings)
+    logger.info("seeds are now %s", ", ".join(settings.seeds))
+
+
+def _peers_of(settings: CatalogControlSettings) -> tuple[Address, ...]:
     port = settings.listen.rpartition(":")[2]
     hosts = [seed.rpartition(":")[0] for seed in settings.seeds]
+    return tuple(Address(f"{host}:{port}") for host in hosts)
+
+
+def _node_settings(settings: CatalogControlSettings) -> NodeSettings:
     return NodeSettings(
         address=settings.listen,
-        peers=tuple(Address(f"{host}:{port}") for host in hosts),
+        peers=_peers_of(settings),
         timing=TIMING,
         tick_s=TICK_S,
         wanted_voters=2 * settings.tolerated_losses + 1,
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -7,7 +7,7 @@
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway._ids import Address, DataHall, EntryName
+from cinderway._ids import Address, DataHall, EntryName, ServiceName
 from cinderway.catalog import (
     CATALOG,
     AnnounceReplica,
@@ -18,12 +18,15 @@
     FindReplicas,
     FollowCatalog,
     ReplicasAnswer,
+    RetryAnswer,
     SubmitCommand,
     SuspectServers,
+    TakeRetry,
     VerdictBatch,
     encode_command,
 )
 from cinderway.control._hall_assessor import HallAssessor
+from cinderway.limits import RetryPool
 from cinderway.replication import Node
 from cinderway.wire import (
     Connection,
@@ -43,6 +46,8 @@
 # Entries change replica after three of these without a sign.
 HEARTBEAT_S = 0.5
 SEND_TIMEOUT_S = 1.0
+# A suspicion lasts a second or more; told later it is worth little.
+TELL_TIMEOUT_S = 0.3
 ANNOUNCE_PAUSE_S = 0.5
 ASSESS_PAUSE_S = 0.1
 LEADER_AGE_LIMIT_MS = 2**31
@@ -60,6 +65,14 @@
     news: anyio.Event = field(default_factory=anyio.Event)
 
 
+@dataclass(frozen=True)
+class RetryRules:
+    """The share of retries for each service, and the extra ones for each entry."""
+
+    percent: int
+    extra_per_entry: float
+
+
 @dataclass
 class CatalogService:
     """Hands out the catalog, takes evidence, and brings commands to the leader."""
@@ -70,7 +83,9 @@
     own: AnnounceReplica
     least_voters: int
     assessor: HallAssessor
+    retries: RetryRules
     followers: set[Follower] = field(default_factory=set)
+    _pools: dict[ServiceName, RetryPool] = field(default_factory=dict)
     _clients: dict[Address, RpcClient] = field(default_factory=dict)
     _tasks: anyio.abc.TaskGroup | None = None
 
@@ -161,15 +176,37 @@
     def _take(self, batch: EvidenceBatch) -> None:
         now_ms = monotonic_ms()
         self.assessor.take(batch, now_ms)
+        for service, count in zip(batch.services, batch.first_requests, strict=True):
+            self._pool_of(service, now_ms).earn(count)
         suspects = self.assessor.new_suspects(now_ms)
         if suspects is None:
             return
         # The entry that saw them fail avoids them already.
+        self._tell_entries(suspects, without=batch.entry)
+        for address in self.machine.replicas:
+            if address != self.own.address:
+                self._tasks.start_soon(self._tell_replica, address, suspects)
+
+    def _tell_entries(self, suspects: SuspectServers, without: EntryName = "") -> None:
         for follower in self.followers:
-            if follower.entry != batch.entry:
+            if follower.entry != without:
                 follower.suspects.append(suspects)
                 follower.news.set()
 
+    async def _tell_replica(self, address: Address, suspects: SuspectServers) -> None:
+        try:
+            await self._client_of(address).call(suspects, TELL_TIMEOUT_S)
+        except CinderwayError as error:
+            logger.debug("a replica was not told of suspects: %s", error)
+
+    def _pool_of(self, service: ServiceName, now_ms: int) -> RetryPool:
+        pool = self._pools.get(service)
+        if pool is None:
+            pool = RetryPool(self.retries.percent, 0.0, now_ms)
+            self._pools[service] = pool
+        pool.extra = self.retries.extra_per_entry * len(self.followers)
+        return pool
+
     async def _answer(
         self, connection: Connection, call_id: int, message: Message
     ) -> None:
@@ -187,6 +224,12 @@
                 case SubmitCommand(data=data):
                     await self._propose(data)
                     return Done()
+                case SuspectServers() as suspects:
+                    self._tell_entries(suspects)
+                    return Done()
+                case TakeRetry(service=service):
+                    now_ms = monotonic_ms()
+                    return RetryAnswer(self._pool_of(service, now_ms).take(now_ms))
         except CinderwayError as error:
             return failure_from(error, self.node.leader_address)
         raise AssertionError(f"no answer for {type(message).__name__}")
--- a/src/cinderway/entry/_attempts.py
+++ b/src/cinderway/entry/_attempts.py
@@ -1,7 +1,8 @@
 """Whole answers: attempt, hedge and retry until one is there."""
 
 import itertools
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import Protocol
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
@@ -17,6 +18,28 @@
 SERVER_ERROR = 500
 
 
+class RetrySource(Protocol):
+    """Where retries and hedges are paid from."""
+
+    def earn(self, service: ServiceState) -> None:
+        """Note a request that came in."""
+
+    async def spend(self, service: ServiceState) -> bool:
+        """Take one retry; False if there is none left."""
+
+
+class OwnRetries:
+    """Each service's budget on this entry alone."""
+
+    def earn(self, service: ServiceState) -> None:
+        """Note a request that came in."""
+        service.budget.earn()
+
+    async def spend(self, service: ServiceState) -> bool:
+        """Take one retry; False if there is none left."""
+        return service.budget.spend()
+
+
 @dataclass
 class Attempts:
     """Brings one request to as many backend servers as it may reach."""
@@ -26,6 +49,7 @@
     answer_limit_bytes: int
     # Whether a request that a server refused to run takes from the budget.
     pays_for_sheds: bool = False
+    budget: RetrySource = field(default_factory=OwnRetries)
 
     async def whole_answer(
         self, service: ServiceState, request: CallerRequest, is_repeatable: bool
@@ -35,7 +59,7 @@
         A server's answer of 5xx is returned if nothing better came. Raises OutcomeError
         whose outcome is NOT_RUN only if no server can have run the request.
         """
-        service.budget.earn()
+        self.budget.earn(service)
         failed: WholeAnswer | None = None
         may_have_run = False
         for rounds in itertools.count(1):
@@ -45,7 +69,10 @@
                 outcome = outcome_of_attempt(error)
                 may_have_run = may_have_run or outcome is not Resolution.NOT_RUN
                 has_attempts = _has_attempts(request, rounds)
-                if self.may_retry(service, error, outcome, is_repeatable, has_attempts):
+                is_retried = await self.may_retry(
+                    service, error, outcome, is_repeatable, has_attempts
+                )
+                if is_retried:
                     continue
                 if failed is not None:
                     return failed
@@ -54,7 +81,7 @@
             if answer.status < SERVER_ERROR or not is_repeatable:
                 return answer
             failed, may_have_run = answer, True
-            if not (_has_attempts(request, rounds) and self.spend(service)):
+            if not _has_attempts(request, rounds) or not await self.spend(service):
                 return failed
         raise AssertionError("the loop ends by return or raise")
 
@@ -93,10 +120,10 @@
         if not is_repeatable:
             return await attempt()
 
-        def may_hedge() -> bool:
+        async def may_hedge() -> bool:
             if len(request.tried) >= request.server_limit:
                 return False
-            if not service.budget.spend():
+            if not await self.budget.spend(service):
                 return False
             self.metrics.count("hedges_total", {"service": service.row.name})
             return True
@@ -104,7 +131,7 @@
         slow_after_ms = self.dispatcher.evidence.slow_after_ms(service.row.name)
         return await race(attempt, slow_after_ms, may_hedge)
 
-    def may_retry(
+    async def may_retry(
         self,
         service: ServiceState,
         error: CinderwayError,
@@ -120,11 +147,11 @@
             return True
         if not is_repeatable and outcome is not Resolution.NOT_RUN:
             return False
-        return has_attempts and self.spend(service)
+        return has_attempts and await self.spend(service)
 
-    def spend(self, service: ServiceState) -> bool:
+    async def spend(self, service: ServiceState) -> bool:
         """Take a retry from the service's budget, if there is one left."""
-        if not service.budget.spend():
+        if not await self.budget.spend(service):
             return False
         self.metrics.count("retries_total", {"service": service.row.name})
         return True
--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -29,6 +29,8 @@
 # A large answer from another hall costs more than a long wait for one from the own.
 DOWNLOAD_PENALTY = 2.0
 FULL_SHARE = 1.0
+# Retries that an entry without a control replica may save up.
+LONE_RETRIES = 1.0
 
 
 @dataclass
@@ -37,8 +39,7 @@
 
     board: Blackboard
     evidence: EvidenceLog
-    retry_percent: int
-    retry_burst: float
+    lone_retry_percent: int
     mirror: CatalogMirror = field(default_factory=CatalogMirror)
     routes: RouteIndex | None = None
     # When the replica that is followed last knew the newest catalog.
@@ -108,7 +109,7 @@
             entry.name: ServiceRow(
                 name=entry.name,
                 probe_path=entry.probe_path,
-                retry_percent=self.retry_percent,
+                retry_percent=self.lone_retry_percent,
             )
             for entry in sheet.services
         }
@@ -120,7 +121,7 @@
         )
         for name in rows.keys() - known:
             self.board.services[name].budget = RetryBudget(
-                self.retry_percent, self.retry_burst / 2, self.retry_burst
+                self.lone_retry_percent, initial=0, maximum=LONE_RETRIES
             )
         self._refresh_penalties()
         self._refresh_warmups(now_ms)
--- a/src/cinderway/entry/_catalog_daemon.py
+++ b/src/cinderway/entry/_catalog_daemon.py
@@ -11,6 +11,7 @@
 from cinderway._logging import configure_logging
 from cinderway._operators import Metrics, serve_operators
 from cinderway._settings import CatalogEntrySettings
+from cinderway._settings_watch import SettingsWatch
 from cinderway.entry._attempts import Attempts
 from cinderway.entry._backends import BackendConnections, HeaderNames
 from cinderway.entry._blackboard import Blackboard
@@ -37,15 +38,19 @@
     names = header_names(settings)
     evidence = EvidenceLog()
     board = Blackboard(settings.name, settings.data_hall, random.Random())
-    state = CatalogBoard(board, evidence, settings.retry_percent, settings.retry_burst)
+    state = CatalogBoard(board, evidence, settings.lone_retry_percent)
     dispatcher = Dispatcher(board, BackendConnections(names=names), evidence)
     metrics = Metrics()
-    attempts = Attempts(dispatcher, metrics, ANSWER_LIMIT_BYTES, pays_for_sheds=True)
     identity = Identity(settings.name, settings.shared_key)
     follower = CatalogFollower(settings, state, identity)
+    attempts = Attempts(
+        dispatcher, metrics, ANSWER_LIMIT_BYTES, pays_for_sheds=True, budget=follower
+    )
     handler = RouteHandler(state, attempts, names, metrics)
     server = http_server(settings.callers_listen, handler, keep_alive_s=KEEP_ALIVE_S)
     async with anyio.create_task_group() as tasks:
+        watch = SettingsWatch(settings, follower.use_settings)
+        tasks.start_soon(watch.run)
         tasks.start_soon(keep_running, "catalog follower", follower.run)
         await tasks.start(
             serve_operators,
--- a/src/cinderway/entry/_catalog_follower.py
+++ b/src/cinderway/entry/_catalog_follower.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+from collections import Counter
 from dataclasses import dataclass, field
 
 import anyio
@@ -13,7 +14,7 @@
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway._ids import Address
+from cinderway._ids import Address, ServiceName
 from cinderway._settings import CatalogEntrySettings
 from cinderway.catalog import (
     CATALOG,
@@ -24,9 +25,12 @@
     FollowCatalog,
     ReplicaAddress,
     ReplicasAnswer,
+    RetryAnswer,
     SuspectServers,
+    TakeRetry,
     VerdictBatch,
 )
+from cinderway.entry._blackboard import ServiceState
 from cinderway.entry._catalog_board import CatalogBoard
 from cinderway.judgement import evidence_from
 from cinderway.routing import rank_of
@@ -41,6 +45,8 @@
 FIND_TIMEOUT_S = 0.5
 CONNECT_TIMEOUT_S = 0.5
 RETRY_PAUSE_S = 0.1
+# A retry that has to wait longer for leave is hardly worth sending.
+RETRY_TIMEOUT_S = 0.25
 # How long a replica that failed comes last in the order.
 AVOID_MS = 5_000
 # How often an entry that follows another hall's replica looks for one in its own.
@@ -51,9 +57,19 @@
 NO_VERDICTS = VerdictBatch([], [], [])
 
 
+@dataclass
+class _Asked:
+    done: anyio.Event = field(default_factory=anyio.Event)
+    is_granted: bool = False
+
+
 @dataclass
 class CatalogFollower:
-    """Keeps an entry's copy of the catalog up to date."""
+    """Keeps an entry's copy of the catalog up to date.
+
+    Also its source of retries: they come out of the budget that all entries of the
+    replica share, or, without a replica, out of a small one of the entry's own.
+    """
 
     settings: CatalogEntrySettings
     state: CatalogBoard
@@ -62,6 +78,15 @@
     updates: int = 0
     _replicas: list[ReplicaAddress] = field(default_factory=list)
     _avoid_until_ms: dict[Address, int] = field(default_factory=dict)
+    _connection: Connection | None = None
+    _first_requests: Counter[ServiceName] = field(default_factory=Counter)
+    _asked: dict[int, _Asked] = field(default_factory=dict)
+    _next_call_id: int = 2
+
+    def use_settings(self, settings: CatalogEntrySettings) -> None:
+        """Take over what may change while the process runs: the seeds."""
+        self.seeds = settings.seeds
+        logger.info("seeds are now %s", ", ".join(settings.seeds))
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -71,6 +96,33 @@
                     break
             await anyio.sleep(RETRY_PAUSE_S)
 
+    # Retries.
+
+    def earn(self, service: ServiceState) -> None:
+        """Note a request that came in."""
+        if self._connection is None:
+            service.budget.earn()
+        else:
+            self._first_requests[service.row.name] += 1
+
+    async def spend(self, service: ServiceState) -> bool:
+        """Take one retry from the shared budget; False if there is none left."""
+        connection = self._connection
+        if connection is None:
+            return service.budget.spend()
+        call_id = self._next_call_id
+        self._next_call_id += 1
+        asked = self._asked[call_id] = _Asked()
+        try:
+            with anyio.fail_after(RETRY_TIMEOUT_S):
+                await connection.send(TakeRetry(service.row.name), call_id)
+                await asked.done.wait()
+        except (CinderwayError, TimeoutError) as error:
+            logger.info("no retry granted: %s", error or "no answer in time")
+        finally:
+            del self._asked[call_id]
+        return asked.is_granted
+
     # Choosing.
 
     def _candidates(self) -> list[Address]:
@@ -165,12 +217,14 @@
             known_revision,
         )
         failure: Exception | None = None
+        self._connection = connection
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._report, connection)
             try:
                 await self._listen(connection, address)
             except (CinderwayError, TimeoutError) as error:
                 failure = error
+            self._connection = None
             tasks.cancel_scope.cancel()
         if failure is not None:
             raise failure
@@ -179,7 +233,8 @@
         look_home_at_ms = monotonic_ms() + LOOK_HOME_MS
         while True:
             with anyio.fail_after(SILENT_LIMIT_S):
-                message = (await connection.receive()).message
+                envelope = await connection.receive()
+            message = envelope.message
             now_ms = monotonic_ms()
             match message:
                 case CatalogUpdate():
@@ -187,6 +242,11 @@
                 case SuspectServers(servers=servers, for_ms=for_ms):
                     for server, left_ms in zip(servers, for_ms, strict=True):
                         self.state.suspect(server, now_ms + left_ms)
+                case RetryAnswer(is_granted=is_granted):
+                    asked = self._asked.get(envelope.call_id)
+                    if asked is not None:
+                        asked.is_granted = is_granted
+                        asked.done.set()
                 case VerdictBatch():
                     self.state.apply(message)
                 case CatalogHeartbeat(leader_age_ms=age_ms):
@@ -241,8 +301,13 @@
             evidence_from(service, server, seen)
             for (service, server), seen in counts.items()
         ]
+        first, self._first_requests = self._first_requests, Counter()
         batch = EvidenceBatch(
-            self.settings.name, self.settings.data_hall, msgspec.msgpack.encode(found)
+            self.settings.name,
+            self.settings.data_hall,
+            msgspec.msgpack.encode(found),
+            list(first),
+            list(first.values()),
         )
         try:
             with anyio.fail_after(REPORT_PAUSE_S):
--- a/src/cinderway/entry/_race.py
+++ b/src/cinderway/entry/_race.py
@@ -61,7 +61,9 @@
 
 
 async def race(
-    attempt: AttemptRunner, hedge_after_ms: float, may_hedge: Callable[[], bool]
+    attempt: AttemptRunner,
+    hedge_after_ms: float,
+    may_hedge: Callable[[], Awaitable[bool]],
 ) -> WholeAnswer:
     """Attempt, and once more beside it if there is no answer after a while."""
     runners = Race()
@@ -70,7 +72,7 @@
         tasks.start_soon(runners.run, attempt)
         with anyio.move_on_after(hedge_after_ms / 1000):
             await runners.wait()
-        if not runners.is_settled and may_hedge():
+        if not runners.is_settled and await may_hedge():
             runners.enter()
             tasks.start_soon(runners.run, attempt)
         await runners.wait()
--- a/src/cinderway/entry/_stream.py
+++ b/src/cinderway/entry/_stream.py
@@ -32,7 +32,7 @@
 
         Raises OutcomeError while nothing was relayed, and AnswerBrokenError after.
         """
-        service.budget.earn()
+        self.attempts.budget.earn(service)
         transfer = _Transfer(service, request, reply)
         for attempt in range(ATTEMPT_LIMIT + 1):
             has_attempts = attempt < ATTEMPT_LIMIT
@@ -41,7 +41,7 @@
                     await reply.end()
                     return
             except CinderwayError as error:
-                self._go_on_or_raise(transfer, error, has_attempts)
+                await self._go_on_or_raise(transfer, error, has_attempts)
         raise AnswerBrokenError
 
     async def _attempt(self, transfer: "_Transfer", has_attempts: bool) -> bool:
@@ -61,8 +61,9 @@
                     raise AnswerBrokenError
             else:
                 is_failed = answer.status >= SERVER_ERROR
-                if is_failed and has_attempts and self.attempts.spend(transfer.service):
-                    return False
+                if is_failed and has_attempts:
+                    if await self.attempts.spend(transfer.service):
+                        return False
                 transfer.download = Download(answer)
                 await transfer.reply.begin(answer)
             await self._relay(transfer, exchange)
@@ -89,11 +90,11 @@
         finally:
             await chunks.aclose()
 
-    def _go_on_or_raise(
+    async def _go_on_or_raise(
         self, transfer: "_Transfer", error: CinderwayError, has_attempts: bool
     ) -> None:
         outcome = outcome_of_attempt(error)
-        is_retried = self.attempts.may_retry(
+        is_retried = await self.attempts.may_retry(
             transfer.service, error, outcome, True, has_attempts
         )
         if transfer.download is None and not is_retried:
--- a/src/cinderway/limits/__init__.py
+++ b/src/cinderway/limits/__init__.py
@@ -3,6 +3,7 @@
 from cinderway.limits._admission import Admission, Admitted, Refused
 from cinderway.limits._connections import ConnectionPlan, plan_connections
 from cinderway.limits._retry_budget import RetryBudget
+from cinderway.limits._retry_pool import RetryPool
 
 __all__ = [
     "Admission",
@@ -10,5 +11,6 @@
     "ConnectionPlan",
     "Refused",
     "RetryBudget",
+    "RetryPool",
     "plan_connections",
 ]
--- a/src/cinderway/replication/_node.py
+++ b/src/cinderway/replication/_node.py
@@ -96,6 +96,8 @@
         self.folder = folder
         self.state_machine = state_machine
         self.settings = settings
+        # Asked to be taken in by, until this replica is a member.
+        self.peers = settings.peers
         self.counters = NodeCounters()
         self.applied_index = 0
         self._identity = identity
@@ -204,7 +206,7 @@
 
     async def _join(self, links: Links) -> None:
         while not self.core.membership.members:
-            for address in self.settings.peers:
+            for address in self.peers:
                 if address != self.settings.address:
                     links.send(address, self._join_request())
             await anyio.sleep(JOIN_PAUSE_S)
--- a/src/cinderway/wire/schemas/catalog.capnp
+++ b/src/cinderway/wire/schemas/catalog.capnp
@@ -15,6 +15,8 @@
     done @9 :Done;
     failure @10 :Failure;
     suspectServers @11 :SuspectServers;
+    takeRetry @12 :TakeRetry;
+    retryAnswer @13 :RetryAnswer;
   }
 }
 
@@ -53,6 +55,16 @@
   entry @0 :Text;
   dataHall @1 :Text;
   servers @2 :Data;
+  services @3 :List(Text);
+  firstRequests @4 :List(UInt32);
+}
+
+struct TakeRetry {
+  service @0 :Text;
+}
+
+struct RetryAnswer {
+  isGranted @0 :Bool;
 }
 
 struct VerdictLine {
--- a/standins/catalog_fleet.py
+++ b/standins/catalog_fleet.py
@@ -184,6 +184,9 @@
                 "tolerated_losses": str(self.tolerated_losses),
                 "data_folder": str(self.path / f"control-{number}"),
                 "shared_key": SHARED_KEY,
+                # Tests of retries must not depend on how much was saved up by then.
+                "retry_percent": "100",
+                "retry_burst": "4000",
             },
         )
 
--- a/tests/entry/test_race.py
+++ b/tests/entry/test_race.py
@@ -27,8 +27,11 @@
             raise result
         return result
 
+    async def may_hedge():
+        return is_hedged
+
     async def start():
-        return await race(attempt, 0, lambda: is_hedged)
+        return await race(attempt, 0, may_hedge)
 
     return anyio.run(start)
 
--- a/tests/system/test_catalog.py
+++ b/tests/system/test_catalog.py
@@ -176,6 +176,8 @@
     def test_a_server_whose_address_is_anothers_now_gets_nothing(self):
         self.servers["sub1"].server_id = "i-other"
         self.servers["sub1"].service = "lookup"
+        # The replica grants a second try once it has heard of first ones.
+        self.ask_until(200, "/once/x", "e", "POST")
         for number in range(6):
             answer = self.ask("/once/x", f"e{number}", "POST")
             self.assertEqual(answer.status, 200)
