--- a/src/cinderway/control/_hall_assessor.py
+++ b/src/cinderway/control/_hall_assessor.py
@@ -59,10 +59,12 @@
         self._said_normal_ms: dict[ServiceName, float] = {}
         self._ejected: dict[ServerName, str] = {}
         self._suspicions = Suspicions()
-        self._told_at_ms = 0
+        self._new_suspects: dict[ServerName, int] = {}
 
-    def take(self, batch: EvidenceBatch, now_ms: int) -> None:
-        """Take one entry's observations."""
+    def take(
+        self, batch: EvidenceBatch, services_once: frozenset[ServiceName], now_ms: int
+    ) -> None:
+        """Take one entry's observations; name the services that run requests once."""
         for evidence in _evidence_decoder.decode(batch.servers):
             judge = self._judges.setdefault(evidence.service, ServiceJudge())
             judge.hear(batch.entry, batch.data_hall, now_ms)
@@ -74,17 +76,30 @@
                 now_ms,
             )
             if evidence.bad:
-                self._suspicions.note_failure(evidence.server, now_ms)
+                self._suspect(evidence, services_once, now_ms)
         self._has_evidence = True
 
+    def _suspect(
+        self,
+        evidence: ServerEvidence,
+        services_once: frozenset[ServiceName],
+        now_ms: int,
+    ) -> None:
+        is_repeatable = evidence.service not in services_once
+        until_ms = self._suspicions.note_failure(
+            evidence.server, now_ms, is_repeatable=is_repeatable
+        )
+        if until_ms is not None:
+            self._new_suspects[evidence.server] = until_ms
+
     def new_suspects(self, now_ms: int) -> SuspectServers | None:
         """Return the servers that became suspect since the last call, if any."""
-        found = self._suspicions.began_since(self._told_at_ms, now_ms)
-        self._told_at_ms = now_ms + 1
+        found, self._new_suspects = self._new_suspects, {}
         self._suspicions.forget_old(now_ms)
         if not found:
             return None
-        return SuspectServers(list(found), list(found.values()))
+        left_ms = [max(until_ms - now_ms, 0) for until_ms in found.values()]
+        return SuspectServers(list(found), left_ms)
 
     def has_news(self, now_ms: int) -> bool:
         """Whether deciding again could change anything."""
--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -47,6 +47,7 @@
     activity: anyio.Event = field(default_factory=anyio.Event)
     bad_news: anyio.Event = field(default_factory=anyio.Event)
     _suspicions: Suspicions = field(default_factory=Suspicions)
+    _services_once: frozenset[ServiceName] = frozenset()
 
     def __post_init__(self):
         self.evidence.on_bad = self.note_failure
@@ -66,7 +67,13 @@
 
     def note_failure(self, server: ServerName) -> None:
         """Avoid a server that has just failed a request of this entry's."""
-        self.suspect(server, self._suspicions.note_failure(server, monotonic_ms()))
+        registered = self.mirror.servers.get(server)
+        if registered is not None:
+            is_repeatable = registered.service not in self._services_once
+            until_ms = self._suspicions.note_failure(
+                server, monotonic_ms(), is_repeatable=is_repeatable
+            )
+            self.suspect(server, until_ms or 0)
         self.bad_news.set()
 
     def suspect(self, server: ServerName, until_ms: int) -> None:
@@ -86,6 +93,7 @@
             return True
         if update.sheet or self.routes is None:
             self.routes = RouteIndex(sheet)
+            self._services_once = sheet.services_once
         self._refresh(now_ms)
         return True
 
--- a/src/cinderway/entry/_route_handler.py
+++ b/src/cinderway/entry/_route_handler.py
@@ -34,6 +34,8 @@
 RETRY_AFTER_MINIMUM_S = 0.2
 RETRY_AFTER_SPREAD_S = 0.4
 DEFAULT_SERVER_LIMIT = 2
+# Several times the way to a caller; small beside any deadline of a second or more.
+ANSWER_MARGIN_MS = 60
 
 
 @dataclass
@@ -133,8 +135,9 @@
         text = find_header(scope["headers"], self.names.deadline)
         timeout_ms = route.timeout_ms
         if text is not None and text.isdigit():
-            timeout_ms = min(timeout_ms, int(text))
-        return now_ms + timeout_ms
+            # The last answer must still reach a caller that waits no longer.
+            timeout_ms = min(timeout_ms, int(text) - ANSWER_MARGIN_MS)
+        return now_ms + max(timeout_ms, 0)
 
     async def _attempt(
         self,
--- a/src/cinderway/judgement/_evidence.py
+++ b/src/cinderway/judgement/_evidence.py
@@ -70,7 +70,8 @@
 class EvidenceLog:
     """Collects one entry's observations between two reports. Time is passed in."""
 
-    def __init__(self):
+    def __init__(self, slow_factor: float = SLOW_FACTOR):
+        self._slow_factor = slow_factor
         self._counts: dict[tuple[ServiceName, ServerName], ServerCounts] = {}
         self._in_flight: set[Attempt] = set()
         self._normal_ms: dict[ServiceName, float] = {}
@@ -84,7 +85,7 @@
     def slow_after_ms(self, service: ServiceName) -> float:
         """How long an observation may take before it is bad."""
         normal_ms = self._normal_ms.get(service, UNKNOWN_NORMAL_MS)
-        return max(normal_ms * SLOW_FACTOR, SLOW_MINIMUM_MS)
+        return max(normal_ms * self._slow_factor, SLOW_MINIMUM_MS)
 
     def begin(
         self,
--- a/src/cinderway/routing/__init__.py
+++ b/src/cinderway/routing/__init__.py
@@ -2,6 +2,8 @@
 
 from cinderway.routing._choose import (
     OTHER_HALL_PENALTY,
+    SUSPECT_ONCE_PENALTY,
+    SUSPECT_PENALTY,
     Candidate,
     choose,
     own_subset,
@@ -11,6 +13,8 @@
 
 __all__ = [
     "OTHER_HALL_PENALTY",
+    "SUSPECT_ONCE_PENALTY",
+    "SUSPECT_PENALTY",
     "Candidate",
     "RouteMatch",
     "RouteTable",
--- /dev/null
+++ b/tests/control/test_hall_assessor.py
@@ -0,0 +1,109 @@
+import unittest
+
+import msgspec
+
+from cinderway._ids import Address, DataHall, EntryName, ServerName, ServiceName
+from cinderway.catalog import (
+    AnnounceReplica,
+    CatalogMachine,
+    EvidenceBatch,
+    Register,
+    RegisteredServer,
+    ServerStatus,
+    encode_command,
+)
+from cinderway.control._hall_assessor import HallAssessor, JudgementRules
+from cinderway.judgement import ServerEvidence
+from cinderway.table import Bias
+
+LOOKUP = ServiceName("lookup")
+SERVERS = [ServerName(f"i-{n}") for n in range(1, 6)]
+ENTRIES = [EntryName(f"e{n}") for n in range(1, 5)]
+ONCE = frozenset({LOOKUP})
+
+
+def catalog():
+    machine = CatalogMachine()
+    commands = [
+        Register(
+            RegisteredServer(
+                name,
+                LOOKUP,
+                Address(f"10.0.0.{n}:80"),
+                DataHall("suva"),
+                3,
+                ServerStatus.ACTIVE,
+            )
+        )
+        for n, name in enumerate(SERVERS)
+    ]
+    replica = AnnounceReplica(
+        Address("10.1.0.1:7100"), DataHall("suva"), Address("10.1.0.1:80")
+    )
+    for index, command in enumerate([*commands, replica], 1):
+        machine.apply(index, encode_command(command))
+    return machine
+
+
+def batch(entry, bad=(), good=()):
+    found = [ServerEvidence(LOOKUP, name, error=1) for name in bad]
+    found += [ServerEvidence(LOOKUP, name, good=1) for name in good]
+    return EvidenceBatch(entry, DataHall("suva"), msgspec.msgpack.encode(found), [], [])
+
+
+class HallAssessorTests(unittest.TestCase):
+    def setUp(self):
+        self.catalog = catalog()
+        self.now_ms = 0
+
+    def assessor(self, floor_percent=50):
+        return HallAssessor(JudgementRules(Bias.BALANCED, floor_percent))
+
+    def observe(self, assessor, bad, rounds=8):
+        """Let all entries see some servers fail and the others do well."""
+        good = [name for name in SERVERS if name not in bad]
+        for _ in range(rounds):
+            for entry in ENTRIES:
+                self.now_ms += 20
+                assessor.take(batch(entry, bad, good), ONCE, self.now_ms)
+        return assessor.decide(self.catalog, self.now_ms)["suva"].lines
+
+    def test_a_server_that_entries_see_fail_is_ejected(self):
+        lines = self.observe(self.assessor(), SERVERS[:1])
+        self.assertEqual([(li.server, li.is_ejected) for li in lines], [("i-1", True)])
+
+    def test_what_one_entry_alone_sees_ejects_nobody(self):
+        assessor = self.assessor()
+        for _ in range(8):
+            for entry in ENTRIES[1:]:
+                assessor.take(batch(entry, (), SERVERS), ONCE, self.now_ms)
+            assessor.take(batch(ENTRIES[0], SERVERS[:1]), ONCE, self.now_ms)
+        self.assertEqual(assessor.decide(self.catalog, self.now_ms)["suva"].lines, [])
+
+    def test_the_floor_keeps_servers_in(self):
+        lines = self.observe(self.assessor(floor_percent=100), SERVERS[:1])
+        self.assertFalse(any(line.is_ejected for line in lines))
+
+    def test_each_failure_makes_a_new_suspect_once(self):
+        assessor = self.assessor()
+        assessor.take(batch(ENTRIES[0], SERVERS[:1]), ONCE, 100)
+        told = assessor.new_suspects(100)
+        self.assertEqual(told.servers, ["i-1"])
+        self.assertIsNone(assessor.new_suspects(100))
+        assessor.take(batch(ENTRIES[1], SERVERS[:1]), ONCE, 100)
+        self.assertIsNone(assessor.new_suspects(100))
+
+    def test_two_suspects_of_one_moment_are_both_told(self):
+        assessor = self.assessor()
+        assessor.take(batch(ENTRIES[0], SERVERS[:1]), ONCE, 100)
+        self.assertEqual(assessor.new_suspects(100).servers, ["i-1"])
+        assessor.take(batch(ENTRIES[0], SERVERS[1:2]), ONCE, 100)
+        self.assertEqual(assessor.new_suspects(100).servers, ["i-2"])
+
+    def test_a_server_whose_requests_can_be_sent_again_is_suspect_for_less(self):
+        once, repeatable = self.assessor(), self.assessor()
+        once.take(batch(ENTRIES[0], SERVERS[:1]), ONCE, 0)
+        repeatable.take(batch(ENTRIES[0], SERVERS[:1]), frozenset(), 0)
+        self.assertGreater(
+            once.new_suspects(0).for_ms, repeatable.new_suspects(0).for_ms
+        )
--- a/tests/replication/test_core.py
+++ b/tests/replication/test_core.py
@@ -413,8 +413,8 @@
         self.assertEqual(self.replica.term, 2)
 
 
-class CutsTest(unittest.TestCase):
-    """Focused cases of what the state machine covers at random."""
+class ClusterCase(unittest.TestCase):
+    """A settled group and its clock."""
 
     def setUp(self):
         self.cluster = Cluster()
@@ -429,6 +429,10 @@
             self.cluster.pass_time(20)
             self.cluster.deliver(30)
 
+
+class CutsTest(ClusterCase):
+    """Focused cases of what the state machine covers at random."""
+
     def test_leader_that_hears_nobody_steps_down(self):
         leader = self.leader()
         for address in self.cluster.nodes:
@@ -476,3 +480,58 @@
         cluster.settle()
         self.assertEqual(set(cluster.acknowledged.values()), set(self.leader().applied))
         self.assertTrue(cluster.acknowledged)
+
+
+class ReplacementTest(ClusterCase):
+    """A replica at a new address takes the place of one that is gone for good."""
+
+    def setUp(self):
+        super().setUp()
+        self.gone = next(
+            n for n in self.cluster.nodes.values() if n is not self.leader()
+        )
+        self.want(3)
+
+    def want(self, voters):
+        for node in self.cluster.nodes.values():
+            node.core._wanted_voters = voters
+
+    def add_newcomer(self, asked):
+        """Start a replica with an empty disk that asks one replica to be taken in."""
+        newcomer = Node(99, "a9", Disk(), 9, self.cluster.now_ms)
+        self.cluster.nodes["a9"] = newcomer
+        request = JoinRequest(99, 0, "a9", 0)
+        self.cluster.messages.append(("a9", asked.address, request))
+        return newcomer
+
+    def voters(self):
+        return self.leader().core.membership.voters
+
+    def test_a_follower_passes_a_newcomers_request_on(self):
+        follower = next(
+            n for n in self.cluster.nodes.values() if n is not self.leader()
+        )
+        self.add_newcomer(follower)
+        self.run_for(1000)
+        self.assertIn(99, self.voters())
+
+    def test_a_silent_voter_that_nobody_replaced_keeps_its_vote(self):
+        self.gone.is_up = False
+        self.run_for(TIMING.replace_silent_ms + 1000)
+        self.assertIn(self.gone.replica_id, self.voters())
+
+    def test_a_silent_voter_leaves_once_another_took_its_place(self):
+        self.gone.is_up = False
+        self.add_newcomer(self.leader())
+        self.run_for(1000)
+        self.assertEqual(len(self.voters()), 4)
+        self.run_for(TIMING.replace_silent_ms + 1000)
+        self.assertNotIn(self.gone.replica_id, self.voters())
+        self.assertIn(99, self.voters())
+
+    def test_nobody_leaves_where_no_number_is_wanted(self):
+        self.want(0)
+        self.gone.is_up = False
+        self.add_newcomer(self.leader())
+        self.run_for(TIMING.replace_silent_ms + 2000)
+        self.assertEqual(len(self.voters()), 4)
