replication: wait for a disk that refuses writes, in place of ending

Ruled out: stepping down by a message: the replica cannot promise anything, so it says nothing, and the others elect as after a cut. Change: a refused batch is cut off the log and written again every 0.2 s; nothing is sent meanwhile.

--- a/src/cinderway/replication/_node.py
+++ b/src/cinderway/replication/_node.py
@@ -29,6 +29,10 @@
 TICK_S = 0.02
 JOIN_PAUSE_S = 0.3
 HAND_OVER_LIMIT_S = 1.0
+# A disk that refuses a write is asked again after this pause.
+DISK_RETRY_S = 0.2
+# Writing a snapshot is work; after a failure the log can wait longer.
+COMPACT_RETRY_MS = 5_000
 
 
 class StateMachine(Protocol):
@@ -119,6 +123,7 @@
         self._waiting: dict[int, _Waiting] = {}
         self._reads: dict[int, _Waiting] = {}
         self._next_read_id = 1
+        self._compact_after_ms = 0
         self._last_role = Role.FOLLOWER
 
     @property
@@ -246,7 +251,7 @@
         last_index, last_term = self.core.log.last_index, self.core.log.last_term
         hard_state = self.core.hard_state
         if output.snapshot is not None:
-            await anyio.to_thread.run_sync(
+            await self._until_written(
                 self.folder.replace, output.snapshot, hard_state, output.entries
             )
             self.state_machine.restore(output.snapshot.data)
@@ -254,7 +259,7 @@
             self._note_applied()
         else:
             before_bytes = self.folder.wal_bytes
-            await anyio.to_thread.run_sync(
+            await self._until_written(
                 self.folder.append, output.hard_state, output.entries
             )
             self.counters.records_bytes += self.folder.wal_bytes - before_bytes
@@ -262,6 +267,26 @@
         self.core.persisted(last_index, last_term)
         self._wake.set()
 
+    async def _until_written(self, write: Callable[..., None], *content: Any) -> None:
+        """Write to the disk, again and again while it refuses.
+
+        Meanwhile this replica sends nothing, as if it were cut off: it acknowledges
+        nothing, and a leader is replaced by one whose disk works.
+        """
+        is_told = False
+        while True:
+            try:
+                await anyio.to_thread.run_sync(write, *content)
+            except OSError as error:
+                if not is_told:
+                    logger.error("the disk refuses a write: %s; trying again", error)
+                is_told = True
+                await anyio.sleep(DISK_RETRY_S)
+            else:
+                break
+        if is_told:
+            logger.warning("the disk takes writes again")
+
     def _apply(self, entries: list[Entry]) -> None:
         for entry in entries:
             result = None
@@ -292,7 +317,8 @@
         if self.folder.wal_bytes < limit_bytes:
             return
         index = self.applied_index
-        if index == self.core.log.snapshot.index:
+        is_paused = monotonic_ms() < self._compact_after_ms
+        if index == self.core.log.snapshot.index or is_paused:
             return
         term = self.core.log.term_at(index)
         membership = self.core.log.membership_at(index).encode()
@@ -301,12 +327,17 @@
         snapshot = Snapshot(index, term, membership, data)
         # Messages that came in meanwhile have changed the log in memory only; what
         # is written now is written again with the output that they led to.
-        await anyio.to_thread.run_sync(
-            self.folder.replace,
-            snapshot,
-            self.core.hard_state,
-            self.core.log.entries_from(index + 1),
-        )
+        try:
+            await anyio.to_thread.run_sync(
+                self.folder.replace,
+                snapshot,
+                self.core.hard_state,
+                self.core.log.entries_from(index + 1),
+            )
+        except OSError as error:
+            logger.error("no snapshot was written: %s; the log goes on", error)
+            self._compact_after_ms = monotonic_ms() + COMPACT_RETRY_MS
+            return
         self.counters.snapshots += 1
         if snapshot.index > self.core.log.snapshot.index:
             self.core.compact(snapshot)
--- a/src/cinderway/replication/_storage.py
+++ b/src/cinderway/replication/_storage.py
@@ -121,10 +121,20 @@
     # Writing.
 
     def append(self, hard_state: HardState | None, entries: list[Entry]) -> None:
-        """Make one batch durable."""
+        """Make one batch durable.
+
+        After an OSError nothing of the batch is in the log, and it may be tried again.
+        """
         record = frame_record(msgspec.msgpack.encode(WalBatch(hard_state, entries)))
-        _write_all(self._wal, record)
-        os.fdatasync(self._wal)
+        try:
+            _write_all(self._wal, record)
+            os.fdatasync(self._wal)
+        except OSError:
+            # What follows a half-written record could not be read back. The bytes are
+            # written anew next time: after a failed sync the old ones may be lost
+            # although a second sync would succeed.
+            os.ftruncate(self._wal, self.wal_bytes)
+            raise
         self.wal_bytes += len(record)
 
     def replace(
@@ -232,6 +242,10 @@
         try:
             _write_all(descriptor, content)
             os.fsync(descriptor)
+        except OSError:
+            # The room it takes on a full disk is needed more by the log.
+            temporary.unlink()
+            raise
         finally:
             os.close(descriptor)
         os.rename(temporary, path)
--- a/tests/replication/test_storage.py
+++ b/tests/replication/test_storage.py
@@ -1,8 +1,11 @@
 """The data folder under crashes, damage and mix-ups, with real files."""
 
+import errno
+import os
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from hypothesis import given, settings, strategies as st
 
@@ -25,6 +28,21 @@
         folder.close()
 
 
+class FullDisk:
+    """A disk that takes a number of bytes and then refuses, until it is emptied."""
+
+    def __init__(self, room_bytes):
+        self.room_bytes = room_bytes
+        self._write = os.write
+
+    def write(self, descriptor, data):
+        if not self.room_bytes:
+            raise OSError(errno.ENOSPC, "No space left on device")
+        written = self._write(descriptor, bytes(data[: self.room_bytes]))
+        self.room_bytes -= written
+        return written
+
+
 class DataFolderTest(unittest.TestCase):
     def setUp(self):
         self.temporary = tempfile.TemporaryDirectory()
@@ -44,6 +62,32 @@
             recover(path or self.path)
         self.assertIs(caught.exception.code, code)
 
+    def test_a_batch_that_a_full_disk_cut_is_not_there_and_can_be_tried_again(self):
+        folder = DataFolder(self.path, "control", ADDRESS)
+        folder.recover()
+        folder.append(HardState(3, 9), [entry(1)])
+        for room_bytes in (0, 1, 20):
+            disk = FullDisk(room_bytes)
+            with mock.patch("os.write", disk.write), self.assertRaises(OSError):
+                folder.append(None, [entry(2, data=b"x" * 100)])
+        folder.append(None, [entry(2, data=b"y")])
+        folder.close()
+        recovered = recover(self.path)
+        self.assertEqual(recovered.log.last_index, 2)
+        self.assertEqual(recovered.log.entries_from(2)[0].data, b"y")
+
+    def test_a_snapshot_that_a_full_disk_cut_leaves_the_old_state(self):
+        folder = DataFolder(self.path, "control", ADDRESS)
+        folder.recover()
+        folder.append(HardState(3, 9), [entry(1), entry(2)])
+        snapshot = Snapshot(2, 1, Snapshot(0, 0, b"", b"").membership, b"s" * 500)
+        with mock.patch("os.write", FullDisk(100).write):
+            with self.assertRaises(OSError):
+                folder.replace(snapshot, HardState(3, 9), [])
+        folder.append(None, [entry(3)])
+        folder.close()
+        self.assertEqual(recover(self.path).log.last_index, 3)
+
     def test_everything_synced_is_read_back(self):
         self.write((HardState(3, 9), [entry(1), entry(2)]), (None, [entry(2, 3)]))
         recovered = recover(self.path)
