--- a/src/cinderway/catalog/_sheet.py
+++ b/src/cinderway/catalog/_sheet.py
@@ -96,16 +96,6 @@
     services: list[ServiceEntry]
     limits: CallerLimits = CallerLimits()
 
-    @property
-    def services_once(self) -> frozenset[ServiceName]:
-        """The services that run requests which may run at most once."""
-        return frozenset(
-            part.service
-            for route in self.routes
-            if not route.is_repeatable
-            for part in route.parts
-        )
-
 
 _decoder = msgspec.json.Decoder(RouteSheet, strict=True)
 
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -175,9 +175,7 @@
 
     def _take(self, batch: EvidenceBatch) -> None:
         now_ms = monotonic_ms()
-        sheet = self.machine.sheet
-        services_once = sheet.services_once if sheet else frozenset()
-        self.assessor.take(batch, services_once, now_ms)
+        self.assessor.take(batch, now_ms)
         for service, count in zip(batch.services, batch.first_requests, strict=True):
             self._pool_of(service, now_ms).earn(count)
         suspects = self.assessor.new_suspects(now_ms)
--- a/src/cinderway/control/_hall_assessor.py
+++ b/src/cinderway/control/_hall_assessor.py
@@ -61,10 +61,8 @@
         self._suspicions = Suspicions()
         self._new_suspects: dict[ServerName, int] = {}
 
-    def take(
-        self, batch: EvidenceBatch, services_once: frozenset[ServiceName], now_ms: int
-    ) -> None:
-        """Take one entry's observations; name the services that run requests once."""
+    def take(self, batch: EvidenceBatch, now_ms: int) -> None:
+        """Take one entry's observations."""
         for evidence in _evidence_decoder.decode(batch.servers):
             judge = self._judges.setdefault(evidence.service, ServiceJudge())
             judge.hear(batch.entry, batch.data_hall, now_ms)
@@ -75,22 +73,14 @@
                 self._row(evidence.service),
                 now_ms,
             )
-            if evidence.bad:
-                self._suspect(evidence, services_once, now_ms)
+            if evidence.error or evidence.unreachable or evidence.cut:
+                self._suspect(evidence.server, now_ms)
         self._has_evidence = True
 
-    def _suspect(
-        self,
-        evidence: ServerEvidence,
-        services_once: frozenset[ServiceName],
-        now_ms: int,
-    ) -> None:
-        is_repeatable = evidence.service not in services_once
-        until_ms = self._suspicions.note_failure(
-            evidence.server, now_ms, is_repeatable=is_repeatable
-        )
+    def _suspect(self, server: ServerName, now_ms: int) -> None:
+        until_ms = self._suspicions.note_failure(server, now_ms)
         if until_ms is not None:
-            self._new_suspects[evidence.server] = until_ms
+            self._new_suspects[server] = until_ms
 
     def new_suspects(self, now_ms: int) -> SuspectServers | None:
         """Return the servers that became suspect since the last call, if any."""
--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -47,10 +47,9 @@
     activity: anyio.Event = field(default_factory=anyio.Event)
     bad_news: anyio.Event = field(default_factory=anyio.Event)
     _suspicions: Suspicions = field(default_factory=Suspicions)
-    _services_once: frozenset[ServiceName] = frozenset()
 
     def __post_init__(self):
-        self.evidence.on_bad = self.note_failure
+        self.evidence.on_failure = self.note_failure
 
     @property
     def is_ready(self) -> bool:
@@ -67,13 +66,8 @@
 
     def note_failure(self, server: ServerName) -> None:
         """Avoid a server that has just failed a request of this entry's."""
-        registered = self.mirror.servers.get(server)
-        if registered is not None:
-            is_repeatable = registered.service not in self._services_once
-            until_ms = self._suspicions.note_failure(
-                server, monotonic_ms(), is_repeatable=is_repeatable
-            )
-            self.suspect(server, until_ms or 0)
+        until_ms = self._suspicions.note_failure(server, monotonic_ms())
+        self.suspect(server, until_ms or 0)
         self.bad_news.set()
 
     def suspect(self, server: ServerName, until_ms: int) -> None:
@@ -93,7 +87,6 @@
             return True
         if update.sheet or self.routes is None:
             self.routes = RouteIndex(sheet)
-            self._services_once = sheet.services_once
         self._refresh(now_ms)
         return True
 
--- a/src/cinderway/entry/_catalog_daemon.py
+++ b/src/cinderway/entry/_catalog_daemon.py
@@ -29,8 +29,6 @@
 KEEP_ALIVE_S = 30
 ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
 DRAIN_POLL_S = 0.02
-# Requests of one route vary little here: one in a hundred takes three times the mean.
-SLOW_FACTOR = 3.0
 
 
 async def run_catalog_entry(settings: CatalogEntrySettings) -> None:
@@ -38,7 +36,7 @@
     configure_logging(settings.log_format, settings.log_level)
     log_start(logger, f"entry {settings.name}", settings.callers_listen)
     names = header_names(settings)
-    evidence = EvidenceLog(SLOW_FACTOR)
+    evidence = EvidenceLog()
     board = Blackboard(settings.name, settings.data_hall, random.Random())
     state = CatalogBoard(board, evidence, settings.lone_retry_percent)
     dispatcher = Dispatcher(board, BackendConnections(names=names), evidence)
--- a/src/cinderway/entry/_dispatch.py
+++ b/src/cinderway/entry/_dispatch.py
@@ -19,13 +19,7 @@
 from cinderway.entry._blackboard import Blackboard, ServerState, ServiceState
 from cinderway.judgement import DRAIN_VALID_MS, PIECE_BYTES, Attempt, Bad, EvidenceLog
 from cinderway.limits import plan_connections
-from cinderway.routing import (
-    SUSPECT_ONCE_PENALTY,
-    SUSPECT_PENALTY,
-    Candidate,
-    choose,
-    own_subset,
-)
+from cinderway.routing import Candidate, choose, own_subset
 
 # After a shed the server gets nothing from this entry for about the time that one
 # of its slots stays taken.
@@ -84,7 +78,7 @@
         server got nothing; BACKEND_SHED is the server's own word that it did not
         run the request.
         """
-        server = await self._take_slot(service, deadline_ms, exclude, is_repeatable)
+        server = await self._take_slot(service, deadline_ms, exclude)
         exclude.add(server.row.name)
         attempt = self.evidence.begin(service.row.name, server.row.name, monotonic_ms())
         try:
@@ -220,18 +214,14 @@
         return min(max(pause_ms, SHED_PAUSE_MINIMUM_MS), SHED_PAUSE_MAXIMUM_MS)
 
     async def _take_slot(
-        self,
-        service: ServiceState,
-        deadline_ms: int,
-        exclude: set[ServerName],
-        is_repeatable: bool,
+        self, service: ServiceState, deadline_ms: int, exclude: set[ServerName]
     ) -> ServerState:
         admission = service.admission
         admission.waiting += 1
         try:
             while True:
                 now_ms = monotonic_ms()
-                server = self._free_server(service, exclude, now_ms, is_repeatable)
+                server = self._free_server(service, exclude, now_ms)
                 if server is not None:
                     server.in_flight += 1
                     return server
@@ -245,26 +235,18 @@
             admission.waiting -= 1
 
     def _free_server(
-        self,
-        service: ServiceState,
-        exclude: set[ServerName],
-        now_ms: int,
-        is_repeatable: bool,
+        self, service: ServiceState, exclude: set[ServerName], now_ms: int
     ) -> ServerState | None:
         candidates = [
             self._candidate(server, now_ms)
             for server, limit in self._subset(usable_servers(service))
             if server.in_flight < limit and server.pause_until_ms <= now_ms
         ]
-        hall, rng = self.board.data_hall, self.board.rng
-        penalties = (
-            service.hall_penalty,
-            SUSPECT_PENALTY if is_repeatable else SUSPECT_ONCE_PENALTY,
-        )
-        chosen = choose(candidates, hall, rng, exclude, *penalties)
+        hall, rng, penalty = self.board.data_hall, self.board.rng, service.hall_penalty
+        chosen = choose(candidates, hall, rng, exclude, penalty)
         if chosen is None and exclude:
             # Every other server was tried already: a second try beats none.
-            chosen = choose(candidates, hall, rng, (), *penalties)
+            chosen = choose(candidates, hall, rng, (), penalty)
         return service.servers[chosen.name] if chosen else None
 
     def _subset(self, usable: list[ServerState]) -> list[tuple[ServerState, int]]:
--- a/src/cinderway/judgement/_evidence.py
+++ b/src/cinderway/judgement/_evidence.py
@@ -33,6 +33,9 @@
     OVERDUE = "overdue"
 
 
+FAILURES = frozenset({Bad.ERROR, Bad.UNREACHABLE, Bad.CUT})
+
+
 @dataclass
 class ServerCounts:
     """Observations of one server since the last report."""
@@ -70,13 +73,13 @@
 class EvidenceLog:
     """Collects one entry's observations between two reports. Time is passed in."""
 
-    def __init__(self, slow_factor: float = SLOW_FACTOR):
-        self._slow_factor = slow_factor
+    def __init__(self):
         self._counts: dict[tuple[ServiceName, ServerName], ServerCounts] = {}
         self._in_flight: set[Attempt] = set()
         self._normal_ms: dict[ServiceName, float] = {}
-        # Called with each bad observation's server, for those that must not wait.
-        self.on_bad: Callable[[ServerName], None] | None = None
+        # Called with the server of each failure. Slowness is none: under load it says
+        # more about the service than about the server.
+        self.on_failure: Callable[[ServerName], None] | None = None
 
     def set_normal(self, service: ServiceName, normal_ms: float) -> None:
         """Take the service's normal time, as pooled over the fleet."""
@@ -85,7 +88,7 @@
     def slow_after_ms(self, service: ServiceName) -> float:
         """How long an observation may take before it is bad."""
         normal_ms = self._normal_ms.get(service, UNKNOWN_NORMAL_MS)
-        return max(normal_ms * self._slow_factor, SLOW_MINIMUM_MS)
+        return max(normal_ms * SLOW_FACTOR, SLOW_MINIMUM_MS)
 
     def begin(
         self,
@@ -184,8 +187,8 @@
     def _bad(self, attempt: Attempt, kind: Bad) -> None:
         bad = self._counts_of(attempt).bad
         bad[kind] = bad.get(kind, 0) + 1
-        if self.on_bad is not None:
-            self.on_bad(attempt.server)
+        if self.on_failure is not None and kind in FAILURES:
+            self.on_failure(attempt.server)
 
     def _counts_of(self, attempt: Attempt) -> ServerCounts:
         key = (attempt.service, attempt.server)
--- a/src/cinderway/routing/__init__.py
+++ b/src/cinderway/routing/__init__.py
@@ -2,8 +2,6 @@
 
 from cinderway.routing._choose import (
     OTHER_HALL_PENALTY,
-    SUSPECT_ONCE_PENALTY,
-    SUSPECT_PENALTY,
     Candidate,
     choose,
     own_subset,
@@ -13,8 +11,6 @@
 
 __all__ = [
     "OTHER_HALL_PENALTY",
-    "SUSPECT_ONCE_PENALTY",
-    "SUSPECT_PENALTY",
     "Candidate",
     "RouteMatch",
     "RouteTable",
--- a/src/cinderway/routing/_choose.py
+++ b/src/cinderway/routing/_choose.py
@@ -13,10 +13,8 @@
 OTHER_HALL_PENALTY = 0.25
 FULL_WEIGHT = 100
 # One that has just failed a request comes after another hall's, but for downloads,
-# whose bytes cost more on the way than a second try. A request that cannot be sent
-# again rather waits behind two rounds of others.
+# whose bytes cost more on the way than a second try.
 SUSPECT_PENALTY = 1.5
-SUSPECT_ONCE_PENALTY = 2.5
 
 
 @dataclass(frozen=True)
@@ -45,38 +43,28 @@
     rng: random.Random,
     exclude: Collection[ServerName] = (),
     hall_penalty: float = OTHER_HALL_PENALTY,
-    suspect_penalty: float = SUSPECT_PENALTY,
 ) -> Candidate | None:
     """Return the candidate with the least load for its weight, or None.
 
     Ties, which are common with 3 or 4 slots, are broken at random so that entries
     that see the same loads do not all choose the same server. `hall_penalty` is the
-    share of a server's slots by which one elsewhere must look emptier,
-    `suspect_penalty` the same for one that has just failed a request.
+    share of a server's slots by which one elsewhere must look emptier.
     """
     best, best_score = None, 0.0
     for candidate in candidates:
         if candidate.name in exclude:
             continue
-        score = (
-            _score(candidate, own_hall, hall_penalty, suspect_penalty)
-            + rng.random() * 0.01
-        )
+        score = _score(candidate, own_hall, hall_penalty) + rng.random() * 0.01
         if best is None or score < best_score:
             best, best_score = candidate, score
     return best
 
 
-def _score(
-    candidate: Candidate,
-    own_hall: DataHall,
-    hall_penalty: float,
-    suspect_penalty: float,
-) -> float:
+def _score(candidate: Candidate, own_hall: DataHall, hall_penalty: float) -> float:
     own_load = (candidate.in_flight + 1) / candidate.slots
     load = max(own_load, candidate.reported_load + 1 / candidate.slots)
     penalty = 0.0 if candidate.data_hall == own_hall else hall_penalty
-    penalty += suspect_penalty if candidate.is_suspect else 0.0
+    penalty += SUSPECT_PENALTY if candidate.is_suspect else 0.0
     effective_weight = candidate.weight / FULL_WEIGHT * candidate.share
     return (load + penalty) / max(effective_weight, 0.001)
 
