--- a/src/cinderway/judgement/_suspicion.py
+++ b/src/cinderway/judgement/_suspicion.py
@@ -1,10 +1,10 @@
 """Avoid for a moment a server that has just failed a request. Pure.
 
 Backend servers fail in bursts of a few seconds, often over before enough has been seen
-to judge them. Busy ones fail single requests about as often. So after a failure a server
-gets requests only where nothing better is free, first for a short while; if it fails
-again right after, for about a burst's length. This is no ejection: it needs no proof and
-takes no capacity away.
+to judge them. Busy ones fail single requests about as often. So after a failure a
+server gets requests only where nothing better is free, first for a short while; if it
+fails again right after, for about a burst's length. This is no ejection: it needs no
+proof and takes no capacity away.
 """
 
 from dataclasses import dataclass, field
