wire: give up on peers that confirm nothing; control: repair does not stop changes

Two causes that fit were found by reading: (1) connections to an instance without power were kept, and TCP sends again only at growing intervals, so the newcomer hears its leader seconds after it is back; (2) meanwhile its group has four voters, and changes were refused below five. Change: TCP_USER_TIMEOUT of 1 s on both sides of each conversation, 1 s to connect; the least number of voters binds only until the first sheet is in force.

--- a/src/cinderway/catalog/_machine.py
+++ b/src/cinderway/catalog/_machine.py
@@ -52,6 +52,11 @@
         self._sheet_revision = 0
         self._server_revisions: dict[ServerName, int] = {}
 
+    @property
+    def has_sheet(self) -> bool:
+        """Whether a sheet was ever installed."""
+        return self.sheet is not None
+
     def apply(self, index: int, data: bytes) -> Installed | RegistryChange | None:
         """Carry out a committed command."""
         match decode_command(data):
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -53,6 +53,16 @@
 LEADER_AGE_LIMIT_MS = 2**31
 
 
+def may_take_commands(voters: int, least_voters: int, has_sheet: bool) -> bool:
+    """Whether a group may acknowledge changes.
+
+    While it forms, only once enough replicas vote: with fewer, losing as many disks as
+    the fleet is to bear could lose what is acknowledged. Later, fewer vote only while a
+    lost disk is being replaced, and that one counts among those to bear.
+    """
+    return has_sheet or voters >= least_voters
+
+
 @dataclass(eq=False)
 class Follower:
     """One entry that follows the catalog here."""
@@ -134,10 +144,8 @@
             raise answer.error(leader)
 
     async def _propose(self, data: bytes) -> None:
-        # With fewer voters, losing as many disks as the fleet is to bear could lose
-        # what is acknowledged now.
         voters = len(self.node.core.membership.voters)
-        if voters < self.least_voters:
+        if not may_take_commands(voters, self.least_voters, self.machine.has_sheet):
             raise CinderwayError(
                 ErrorCode.GROUP_TOO_SMALL,
                 f"{voters} voters; {self.least_voters} are needed",
--- a/src/cinderway/wire/_connection.py
+++ b/src/cinderway/wire/_connection.py
@@ -2,6 +2,7 @@
 
 import hmac
 import secrets
+import socket
 from dataclasses import dataclass
 
 import anyio
@@ -15,7 +16,11 @@
 # Of a peer that has proved itself; a ledger's snapshot is one frame.
 FRAME_LIMIT_BYTES = 256 * 1024 * 1024
 HELLO_FRAME_LIMIT_BYTES = 4096
-HELLO_TIMEOUT_S = 2.0
+HELLO_TIMEOUT_S = 1.0
+# A peer without power says nothing, and TCP would go on sending at growing intervals:
+# long after the peer is back, the connection would still look open. Several round trips
+# and a few lost packets take less.
+UNACKNOWLEDGED_LIMIT_MS = 1_000
 NONCE_BYTES = 32
 CLIENT_PROOF = b"client"
 SERVER_PROOF = b"server"
@@ -66,6 +71,12 @@
     shared_key: bytes
 
 
+def limit_unacknowledged(stream: SocketStream) -> None:
+    """Let a connection break when the peer confirms no bytes for a while."""
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
+
+
 class Connection:
     """Sends and receives messages of one conversation with one peer."""
 
@@ -186,6 +197,7 @@
             step=Step.CONNECT,
             peer=address,
         ) from error
+    limit_unacknowledged(stream)
     try:
         with anyio.fail_after(HELLO_TIMEOUT_S):
             return await _greet(stream, address, conversation, identity)
@@ -229,6 +241,7 @@
     """Take a peer's hello; return the connection and the name the peer gave."""
     remote = stream.extra(anyio.abc.SocketAttribute.remote_address)
     peer = f"{remote[0]}:{remote[1]}"
+    limit_unacknowledged(stream)
     frames = _Frames(stream, peer)
     with anyio.fail_after(HELLO_TIMEOUT_S):
         hello = _expect(await frames.receive_hello(), Hello, peer)
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -1,8 +1,10 @@
 """Framing, the hello and calls, over real loopback connections."""
 
+import socket
 import unittest
 
 import anyio
+from anyio.abc import SocketAttribute
 from hypothesis import given, strategies as st
 
 from cinderway._errors import CinderwayError, ErrorCode, Step
@@ -18,7 +20,13 @@
     serve_calls,
     serve_connections,
 )
-from cinderway.wire._connection import Hello, Proof, Refusal, _Frames
+from cinderway.wire._connection import (
+    UNACKNOWLEDGED_LIMIT_MS,
+    Hello,
+    Proof,
+    Refusal,
+    _Frames,
+)
 
 KEY = b"a-key-of-the-fleet"
 SERVER = Identity("control", KEY)
@@ -33,7 +41,7 @@
     await serve_calls(connection, name, answer)
 
 
-def with_server(use):
+def with_server(use, serve=serve):
     """Run `use(address)` against a server and return or raise what it gives."""
     outcome = {}
 
@@ -69,6 +77,29 @@
 
         self.assertEqual(with_server(use), Done())
 
+    def test_both_sides_give_up_on_a_peer_that_confirms_nothing(self):
+        limits_ms = []
+
+        def note(connection):
+            raw = connection._frames.stream.extra(SocketAttribute.raw_socket)
+            limits_ms.append(
+                raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+            )
+
+        async def noting(connection, name):
+            note(connection)
+            await serve(connection, name)
+
+        async def use(address):
+            connection = await connect(address, TABLE, SERVER)
+            note(connection)
+            await connection.send(ReadTable(), 1)
+            await connection.receive()
+            await connection.aclose()
+
+        with_server(use, noting)
+        self.assertEqual(limits_ms, [UNACKNOWLEDGED_LIMIT_MS] * 2)
+
     def test_without_the_shared_key_nothing_is_accepted(self):
         async def use(address):
             stranger = Identity("control", b"another-key-entirely")
