settings: split into a private package by job, behaviour unchanged

Declarations and parsing, parsers, the settings file, shared fields and the settings classes each have a module; imports of cinderway._settings go on working.

--- /dev/null
+++ b/src/cinderway/_settings/_fields.py
@@ -0,0 +1,86 @@
+"""Declarations of the fields that several settings classes have in common."""
+
+from typing import Any
+
+from cinderway._settings._declaration import REQUIRED, setting
+from cinderway._settings._parsers import (
+    SHARED_KEY_MIN_CHARACTERS,
+    one_of,
+    parse_address,
+    parse_header,
+    parse_key,
+    parse_some_addresses,
+)
+
+ADDRESS_FORM = "IP-number:port, port 0 to 65535"
+NAME_FORM = "1 to 63 of A-Z a-z 0-9 . _ -"
+
+
+def listen_field(default: Any = REQUIRED) -> Any:
+    """Declare the address of the conversations among cinderway processes."""
+    return setting(
+        parse_address,
+        ADDRESS_FORM,
+        "Where other cinderway processes and operators reach this one.",
+        default,
+    )
+
+
+def operators_listen_field() -> Any:
+    """Declare the address of metrics and health checks."""
+    return setting(
+        parse_address,
+        ADDRESS_FORM,
+        "Where /metrics, /healthz and /readyz are served.",
+        "127.0.0.1:0",
+    )
+
+
+def shared_key_field() -> Any:
+    """Declare the key that proves membership of the fleet."""
+    return setting(
+        parse_key,
+        f"at least {SHARED_KEY_MIN_CHARACTERS} characters",
+        "Key that all processes of the fleet and its operators share.",
+    )
+
+
+def log_format_field() -> Any:
+    """Declare the form of log lines."""
+    return setting(
+        one_of("human", "json"), "human | json", "Form of the log lines.", "human"
+    )
+
+
+def log_level_field() -> Any:
+    """Declare the least severe level that is logged."""
+    return setting(
+        one_of("debug", "info", "warning", "error"),
+        "debug | info | warning | error",
+        "Least severe log lines to write.",
+        "info",
+    )
+
+
+def settings_file_field() -> Any:
+    """Declare the path of the settings file."""
+    return setting(
+        str,
+        "a TOML file's path, or nothing",
+        "File with further settings by name; it may change while the process runs.",
+        "",
+    )
+
+
+def seeds_field() -> Any:
+    """Declare the replicas by which the group is found."""
+    return setting(
+        parse_some_addresses,
+        f"comma-separated {ADDRESS_FORM}, at least one",
+        "HTTP addresses of some catalog control replicas, the same order everywhere.",
+    )
+
+
+def header_field(help: str, default: str) -> Any:
+    """Declare the configurable name of a header."""
+    return setting(parse_header, "a header's name, or nothing", help, default)
--- /dev/null
+++ b/src/cinderway/_settings/_file.py
@@ -0,0 +1,57 @@
+"""The settings file: a TOML file with further settings by name."""
+
+import dataclasses
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._settings._declaration import parse_setting, settings_of
+
+
+def with_settings_file(given: dict[str, str | None]) -> dict[str, str | None]:
+    """Return the texts given, completed from the settings file that they name.
+
+    Flags and environment variables go before the file. Raises CinderwayError with
+    SETTING_INVALID when the file cannot be read as TOML.
+    """
+    path = given.get("settings_file")
+    if not path:
+        return given
+    texts = read_settings_file(Path(path))
+    return {name: text or texts.get(name) for name, text in given.items()}
+
+
+def read_settings_file(path: Path) -> dict[str, str]:
+    """Return a settings file's values as texts; a list's parts joined by commas."""
+    try:
+        content = tomllib.loads(path.read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise CinderwayError(
+            ErrorCode.SETTING_INVALID,
+            f"the settings file {path} cannot be read: {error}",
+            step=Step.START,
+        ) from error
+    return {name: _text_of(value) for name, value in content.items()}
+
+
+def changed_settings(settings: Any, texts: dict[str, str]) -> Any:
+    """Return the settings with the values that a changed file gives.
+
+    Raises CinderwayError with SETTING_INVALID and changes nothing if one is wrong.
+    """
+    values = {}
+    for name, declared in settings_of(type(settings)).items():
+        if name in texts:
+            values[name] = parse_setting(name, declared, texts[name])
+    return dataclasses.replace(settings, **values)
+
+
+def _text_of(value: Any) -> str:
+    match value:
+        case bool():
+            return str(value).lower()
+        case list():
+            return ",".join(_text_of(part) for part in value)
+        case _:
+            return str(value)
