control: move feeding an entry and the retry pools out of the catalog service, behaviour unchanged

_follower.py holds what one entry is still to be sent and sends it; _retry_pools.py holds the pools of all services. Log lines stay where they were.

--- a/src/cinderway/control/_catalog_daemon.py
+++ b/src/cinderway/control/_catalog_daemon.py
@@ -16,8 +16,9 @@
 from cinderway._settings_watch import SettingsWatch
 from cinderway.catalog import AnnounceReplica, CatalogMachine
 from cinderway.control._catalog_http import CatalogHttp
-from cinderway.control._catalog_service import CatalogService, RetryRules
+from cinderway.control._catalog_service import CatalogService
 from cinderway.control._hall_assessor import HallAssessor, JudgementRules
+from cinderway.control._retry_pools import RetryPools
 from cinderway.replication import DataFolder, Node, NodeSettings, Timing
 from cinderway.wire import Identity, serve_connections
 
@@ -48,7 +49,7 @@
         own,
         least_voters=2 * settings.tolerated_losses + 1,
         assessor=HallAssessor(rules),
-        retries=RetryRules(settings.retry_percent, settings.retry_burst),
+        retry_pools=RetryPools(settings.retry_percent, settings.retry_burst),
     )
     async with anyio.create_task_group() as tasks:
         routes = (node.route, service.route)
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -7,7 +7,7 @@
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway._ids import Address, DataHall, EntryName, ServiceName
+from cinderway._ids import Address, EntryName, ServiceName
 from cinderway.catalog import (
     CATALOG,
     AnnounceReplica,
@@ -22,11 +22,11 @@
     SubmitCommand,
     SuspectServers,
     TakeRetry,
-    VerdictBatch,
     encode_command,
 )
+from cinderway.control._follower import Follower
 from cinderway.control._hall_assessor import HallAssessor
-from cinderway.limits import RetryPool
+from cinderway.control._retry_pools import RetryPools
 from cinderway.replication import Node
 from cinderway.wire import (
     Connection,
@@ -43,9 +43,6 @@
 
 # An operator's or server's call waits a second for its answer; then it goes elsewhere.
 PROPOSE_TIMEOUT_S = 2.5
-# Entries change replica after three of these without a sign.
-HEARTBEAT_S = 0.5
-SEND_TIMEOUT_S = 1.0
 # A suspicion lasts a second or more; told later it is worth little.
 TELL_TIMEOUT_S = 0.3
 ANNOUNCE_PAUSE_S = 0.5
@@ -53,26 +50,6 @@
 LEADER_AGE_LIMIT_MS = 2**31
 
 
-@dataclass(eq=False)
-class Follower:
-    """One entry that follows the catalog here."""
-
-    entry: EntryName
-    data_hall: DataHall
-    known_revision: int
-    verdicts: VerdictBatch | None = None
-    suspects: list[SuspectServers] = field(default_factory=list)
-    news: anyio.Event = field(default_factory=anyio.Event)
-
-
-@dataclass(frozen=True)
-class RetryRules:
-    """The share of retries for each service, and the extra ones for each entry."""
-
-    percent: int
-    extra_per_entry: float
-
-
 @dataclass
 class CatalogService:
     """Hands out the catalog, takes evidence, and brings commands to the leader."""
@@ -83,9 +60,8 @@
     own: AnnounceReplica
     least_voters: int
     assessor: HallAssessor
-    retries: RetryRules
+    retry_pools: RetryPools
     followers: set[Follower] = field(default_factory=set)
-    _pools: dict[ServiceName, RetryPool] = field(default_factory=dict)
     _clients: dict[Address, RpcClient] = field(default_factory=dict)
     _tasks: anyio.abc.TaskGroup | None = None
 
@@ -177,7 +153,7 @@
         now_ms = monotonic_ms()
         self.assessor.take(batch, now_ms)
         for service, count in zip(batch.services, batch.first_requests, strict=True):
-            self._pool_of(service, now_ms).earn(count)
+            self.retry_pools.earn(service, count, len(self.followers), now_ms)
         suspects = self.assessor.new_suspects(now_ms)
         if suspects is None:
             return
@@ -190,8 +166,7 @@
     def _tell_entries(self, suspects: SuspectServers, without: EntryName = "") -> None:
         for follower in self.followers:
             if follower.entry != without:
-                follower.suspects.append(suspects)
-                follower.news.set()
+                follower.tell_suspects(suspects)
 
     async def _tell_replica(self, address: Address, suspects: SuspectServers) -> None:
         try:
@@ -199,14 +174,6 @@
         except CinderwayError as error:
             logger.debug("a replica was not told of suspects: %s", error)
 
-    def _pool_of(self, service: ServiceName, now_ms: int) -> RetryPool:
-        pool = self._pools.get(service)
-        if pool is None:
-            pool = RetryPool(self.retries.percent, 0.0, now_ms)
-            self._pools[service] = pool
-        pool.extra = self.retries.extra_per_entry * len(self.followers)
-        return pool
-
     async def _answer(
         self, connection: Connection, call_id: int, message: Message
     ) -> None:
@@ -228,47 +195,35 @@
                     self._tell_entries(suspects)
                     return Done()
                 case TakeRetry(service=service):
-                    now_ms = monotonic_ms()
-                    return RetryAnswer(self._pool_of(service, now_ms).take(now_ms))
+                    return RetryAnswer(self._take_retry(service))
         except CinderwayError as error:
             return failure_from(error, self.node.leader_address)
         raise AssertionError(f"no answer for {type(message).__name__}")
 
+    def _take_retry(self, service: ServiceName) -> bool:
+        return self.retry_pools.take(service, len(self.followers), monotonic_ms())
+
     async def _feed(self, connection: Connection, request: FollowCatalog) -> None:
-        follower = Follower(request.entry, request.data_hall, request.known_revision)
+        follower = Follower(
+            request.entry,
+            request.data_hall,
+            request.known_revision,
+            connection,
+            self.machine,
+            self._heartbeat,
+        )
         self.followers.add(follower)
-        sent_verdicts: VerdictBatch | None = None
-        heartbeat_at_ms = monotonic_ms()
         logger.info(
             "entry %s follows from revision %d", request.entry, request.known_revision
         )
         try:
-            while True:
-                follower.news = anyio.Event()
-                if self.machine.revision > follower.known_revision:
-                    update = self.machine.update_since(follower.known_revision)
-                    await self._send(connection, update)
-                    follower.known_revision = update.revision
-                while follower.suspects:
-                    await self._send(connection, follower.suspects.pop(0))
-                if follower.verdicts != sent_verdicts:
-                    sent_verdicts = follower.verdicts
-                    await self._send(connection, sent_verdicts)
-                if monotonic_ms() >= heartbeat_at_ms:
-                    await self._send(connection, self._heartbeat())
-                    heartbeat_at_ms = monotonic_ms() + round(HEARTBEAT_S * 1000)
-                with anyio.move_on_after(HEARTBEAT_S):
-                    await follower.news.wait()
+            await follower.feed()
         except (CinderwayError, TimeoutError) as error:
             logger.info("entry %s no longer follows: %s", request.entry, error)
             await connection.aclose()
         finally:
             self.followers.discard(follower)
 
-    async def _send(self, connection: Connection, message: Message) -> None:
-        with anyio.fail_after(SEND_TIMEOUT_S):
-            await connection.send(message)
-
     def _heartbeat(self) -> CatalogHeartbeat:
         return CatalogHeartbeat(
             self.leader_age_ms(), self.machine.revision, len(self.followers)
@@ -278,7 +233,7 @@
         while True:
             await self.node.wait_applied()
             for follower in self.followers:
-                follower.news.set()
+                follower.wake()
 
     async def _assess(self) -> None:
         while True:
@@ -288,9 +243,8 @@
             views = self.assessor.decide(self.machine, monotonic_ms())
             for follower in self.followers:
                 verdicts = views.get(follower.data_hall)
-                if verdicts is not None and verdicts != follower.verdicts:
-                    follower.verdicts = verdicts
-                    follower.news.set()
+                if verdicts is not None:
+                    follower.tell_verdicts(verdicts)
 
     async def _announce(self) -> None:
         """Tell the fleet where this replica is, once it is a member of the group."""
--- /dev/null
+++ b/src/cinderway/control/_follower.py
@@ -0,0 +1,99 @@
+"""Feed one entry that follows the catalog at this replica.
+
+The entry is sent catalog updates, suspects and verdicts as they come up, and a
+heartbeat also when there is nothing else to send.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+
+from cinderway._clock import monotonic_ms
+from cinderway._ids import DataHall, EntryName
+from cinderway.catalog import (
+    CatalogHeartbeat,
+    CatalogMachine,
+    SuspectServers,
+    VerdictBatch,
+)
+from cinderway.wire import Connection, Message
+
+# Entries change replica after three of these without a sign.
+HEARTBEAT_S = 0.5
+SEND_TIMEOUT_S = 1.0
+
+
+@dataclass(eq=False)
+class Follower:
+    """One entry that follows the catalog here, and what it is still to be sent."""
+
+    entry: EntryName
+    data_hall: DataHall
+    known_revision: int
+    connection: Connection
+    machine: CatalogMachine
+    heartbeat: Callable[[], CatalogHeartbeat]
+    _verdicts: VerdictBatch | None = None
+    _sent_verdicts: VerdictBatch | None = None
+    _suspects: list[SuspectServers] = field(default_factory=list)
+    _heartbeat_at_ms: int = 0
+    _news: anyio.Event = field(default_factory=anyio.Event)
+
+    def wake(self) -> None:
+        """Look at once for what is new."""
+        self._news.set()
+
+    def tell_suspects(self, suspects: SuspectServers) -> None:
+        """Send these after all that were told before."""
+        self._suspects.append(suspects)
+        self.wake()
+
+    def tell_verdicts(self, verdicts: VerdictBatch) -> None:
+        """Send these in place of earlier verdicts, if they differ."""
+        if verdicts != self._verdicts:
+            self._verdicts = verdicts
+            self.wake()
+
+    async def feed(self) -> None:
+        """Send what is due until cancelled.
+
+        Raises CinderwayError or TimeoutError when the entry does not take a message.
+        """
+        self._heartbeat_at_ms = monotonic_ms()
+        while True:
+            # Renewed before anything is looked at, so that no news is missed.
+            self._news = anyio.Event()
+            await self._send_update()
+            await self._send_suspects()
+            await self._send_verdicts()
+            await self._send_heartbeat()
+            with anyio.move_on_after(HEARTBEAT_S):
+                await self._news.wait()
+
+    async def _send_update(self) -> None:
+        if self.machine.revision <= self.known_revision:
+            return
+        update = self.machine.update_since(self.known_revision)
+        await self._send(update)
+        self.known_revision = update.revision
+
+    async def _send_suspects(self) -> None:
+        while self._suspects:
+            await self._send(self._suspects.pop(0))
+
+    async def _send_verdicts(self) -> None:
+        if self._verdicts == self._sent_verdicts:
+            return
+        self._sent_verdicts = self._verdicts
+        await self._send(self._sent_verdicts)
+
+    async def _send_heartbeat(self) -> None:
+        if monotonic_ms() < self._heartbeat_at_ms:
+            return
+        await self._send(self.heartbeat())
+        self._heartbeat_at_ms = monotonic_ms() + round(HEARTBEAT_S * 1000)
+
+    async def _send(self, message: Message) -> None:
+        with anyio.fail_after(SEND_TIMEOUT_S):
+            await self.connection.send(message)
