--- a/src/cinderway/entry/_catalog_follower.py
+++ b/src/cinderway/entry/_catalog_follower.py
@@ -23,7 +23,6 @@
     EvidenceBatch,
     FindReplicas,
     FollowCatalog,
-    ReplicaAddress,
     ReplicasAnswer,
     RetryAnswer,
     SuspectServers,
@@ -32,8 +31,8 @@
 )
 from cinderway.entry._blackboard import ServiceState
 from cinderway.entry._catalog_board import CatalogBoard
+from cinderway.entry._replica_choice import ReplicaChoice
 from cinderway.judgement import evidence_from
-from cinderway.routing import rank_of
 from cinderway.wire import Connection, Identity, connect
 
 logger = logging.getLogger(__name__)
@@ -47,8 +46,6 @@
 RETRY_PAUSE_S = 0.1
 # A retry that has to wait longer for leave is hardly worth sending.
 RETRY_TIMEOUT_S = 0.25
-# How long a replica that failed comes last in the order.
-AVOID_MS = 5_000
 # How often an entry that follows another hall's replica looks for one in its own.
 LOOK_HOME_MS = 5_000
 REPORT_PAUSE_S = 0.1
@@ -74,24 +71,29 @@
     settings: CatalogEntrySettings
     state: CatalogBoard
     identity: Identity
-    seeds: tuple[Address, ...] = ()
     updates: int = 0
-    _replicas: list[ReplicaAddress] = field(default_factory=list)
-    _avoid_until_ms: dict[Address, int] = field(default_factory=dict)
     _connection: Connection | None = None
     _first_requests: Counter[ServiceName] = field(default_factory=Counter)
     _asked: dict[int, _Asked] = field(default_factory=dict)
     _next_call_id: int = 2
 
+    def __post_init__(self):
+        self._choice = ReplicaChoice(
+            self.settings.name,
+            self.settings.data_hall,
+            self.settings.control_port,
+            self.settings.seeds,
+        )
+
     def use_settings(self, settings: CatalogEntrySettings) -> None:
         """Take over what may change while the process runs: the seeds."""
-        self.seeds = settings.seeds
+        self._choice.seeds = settings.seeds
         logger.info("seeds are now %s", ", ".join(settings.seeds))
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            for address in self._candidates():
+            for address in self._choice.candidates(monotonic_ms()):
                 if await self._try(address):
                     break
             await anyio.sleep(RETRY_PAUSE_S)
@@ -123,49 +125,6 @@
             del self._asked[call_id]
         return asked.is_granted
 
-    # Choosing.
-
-    def _candidates(self) -> list[Address]:
-        """Replicas in the order to try them; each entry has its own order."""
-        now_ms = monotonic_ms()
-        halls = {replica.address: replica.data_hall for replica in self._replicas}
-        addresses = set(halls) | set(self._seed_addresses())
-
-        def rank(address: Address) -> tuple:
-            is_avoided = self._avoid_until_ms.get(address, 0) > now_ms
-            is_home = halls.get(address) == self.settings.data_hall
-            # All entries of a hall choose the same one: observations are judged
-            # together there.
-            key = self.settings.data_hall if is_home else self.settings.name
-            return (is_avoided, not is_home, rank_of(key, address))
-
-        return sorted(addresses, key=rank)
-
-    def _seed_addresses(self) -> list[Address]:
-        seeds = self.seeds or self.settings.seeds
-        hosts = [seed.rpartition(":")[0] for seed in seeds]
-        return [Address(f"{host}:{self.settings.control_port}") for host in hosts]
-
-    def _hall_of(self, address: Address) -> str:
-        for replica in self._replicas:
-            if replica.address == address:
-                return replica.data_hall
-        return ""
-
-    def _is_home(self, address: Address) -> bool:
-        return self._hall_of(address) == self.settings.data_hall
-
-    def _has_better(self, address: Address) -> bool:
-        """Whether a replica of the own hall is known, and this one is not in it."""
-        if self._is_home(address):
-            return False
-        now_ms = monotonic_ms()
-        return any(
-            replica.data_hall == self.settings.data_hall
-            and self._avoid_until_ms.get(replica.address, 0) <= now_ms
-            for replica in self._replicas
-        )
-
     # Following.
 
     async def _try(self, address: Address) -> bool:
@@ -174,16 +133,16 @@
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 connection = await connect(address, CATALOG, self.identity)
         except (CinderwayError, TimeoutError) as error:
-            self._avoid(address)
+            self._choice.avoid(address, monotonic_ms())
             logger.info("control replica %s cannot be reached: %s", address, error)
             return False
         try:
             await self._find(connection)
-            if self._has_better(address):
+            if self._choice.has_better(address, monotonic_ms()):
                 return True
             await self._follow(connection, address)
         except (CinderwayError, TimeoutError) as error:
-            self._avoid(address)
+            self._choice.avoid(address, monotonic_ms())
             # Its verdicts end with it; another replica judges anew within seconds.
             self.state.apply(NO_VERDICTS)
             logger.warning(
@@ -196,15 +155,12 @@
             await connection.aclose()
         return True
 
-    def _avoid(self, address: Address) -> None:
-        self._avoid_until_ms[address] = monotonic_ms() + AVOID_MS
-
     async def _find(self, connection: Connection) -> None:
         with anyio.fail_after(FIND_TIMEOUT_S):
             await connection.send(FindReplicas(), call_id=1)
             answer = (await connection.receive()).message
         if isinstance(answer, ReplicasAnswer):
-            self._replicas = answer.replicas
+            self._choice.replicas = answer.replicas
 
     async def _follow(self, connection: Connection, address: Address) -> None:
         name, hall = self.settings.name, self.settings.data_hall
@@ -213,7 +169,7 @@
         logger.info(
             "following control replica %s of %s from catalog %d",
             address,
-            self._hall_of(address) or "an unknown hall",
+            self._choice.hall_of(address) or "an unknown hall",
             known_revision,
         )
         failure: Exception | None = None
@@ -251,7 +207,7 @@
                     self.state.apply(message)
                 case CatalogHeartbeat(leader_age_ms=age_ms):
                     self._hear(address, age_ms, now_ms)
-            if now_ms >= look_home_at_ms and not self._is_home(address):
+            if now_ms >= look_home_at_ms and not self._choice.is_home(address):
                 return
 
     def _install(self, update: CatalogUpdate, now_ms: int) -> None:
