--- a/src/cinderway/catalog/_commands.py
+++ b/src/cinderway/catalog/_commands.py
@@ -28,11 +28,16 @@
 
 
 class AnnounceReplica(msgspec.Struct, frozen=True, tag="replica"):
-    """Tell the fleet which data hall a control replica stands in."""
+    """Tell the fleet where a control replica is, and in which data hall.
+
+    `address` is where the fleet's own processes reach it, `http_address` where
+    operators and backend servers do.
+    """
 
     address: Address
     data_hall: DataHall
-    operators_address: Address
+    # Encoded under its first name: logs and snapshots on disk hold it so.
+    http_address: Address = msgspec.field(name="operators_address")
 
 
 Command = InstallSheet | Register | Deregister | AnnounceReplica
--- a/src/cinderway/control/_catalog_http.py
+++ b/src/cinderway/control/_catalog_http.py
@@ -129,7 +129,7 @@
             raise CinderwayError(
                 ErrorCode.NO_QUORUM, "no leader is known here", step=Step.PROPOSE
             )
-        location = f"http://{leader.operators_address}{SHEET_PATH}"
+        location = f"http://{leader.http_address}{SHEET_PATH}"
         return 307, b"{}", [(b"location", location.encode())]
 
     async def _put_server(self, server_id, receive) -> tuple[int, bytes, list]:
