--- a/src/cinderway/catalog/_sheet.py
+++ b/src/cinderway/catalog/_sheet.py
@@ -13,12 +13,12 @@
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import ServiceName
 
+# What holds where a sheet gives no value.
 DEFAULT_HEADER_LIMIT_BYTES = 16 * 1024
 DEFAULT_BODY_LIMIT_BYTES = 64 * 1024 * 1024
 DEFAULT_HEADER_TIMEOUT_MS = 3_000
 DEFAULT_IDLE_TIMEOUT_MS = 15_000
 DEFAULT_CONNECTION_LIMIT = 200
-DEFAULT_SERVER_LIMIT = 2
 
 
 class RouteKind(Enum):
--- a/src/cinderway/control/_catalog_http.py
+++ b/src/cinderway/control/_catalog_http.py
@@ -31,9 +31,10 @@
 SERVERS_PREFIX = "/v1/servers/"
 SHEET_LIMIT_BYTES = 32 * 1024 * 1024
 HEARTBEAT_LIMIT_BYTES = 64 * 1024
+# Within the second that callers wait for an answer.
 READ_TIMEOUT_S = 0.9
 JSON = b"application/json"
-RETRY_AFTER_S = "0.3"
+RETRY_AFTER_S = 0.3
 
 STATUS_OF_CODE = {
     ErrorCode.SHEET_INVALID: 400,
@@ -199,7 +200,7 @@
 def _retry_after(status: int) -> list:
     if status != UNAVAILABLE:
         return []
-    return [(b"retry-after", RETRY_AFTER_S.encode())]
+    return [(b"retry-after", str(RETRY_AFTER_S).encode())]
 
 
 async def _respond(send, status: int, body: bytes, headers: list) -> None:
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -43,11 +43,14 @@
 
 # An operator's or server's call waits a second for its answer; then it goes elsewhere.
 PROPOSE_TIMEOUT_S = 2.5
-# A suspicion lasts a second or more; told later it is worth little.
+# A first suspicion lasts 400 ms; told much later it is worth little.
 TELL_TIMEOUT_S = 0.3
+# Between two tries to announce this replica.
 ANNOUNCE_PAUSE_S = 0.5
+# Between two looks for observations to judge.
 ASSESS_PAUSE_S = 0.1
-LEADER_AGE_LIMIT_MS = 2**31
+# Stands also for a leader never heard from; the heartbeat's field has 32 bits.
+MAXIMUM_LEADER_AGE_MS = 2**31
 
 
 @dataclass
@@ -84,9 +87,9 @@
         if core.is_leader:
             return 0
         if core.leader_heard_at_ms is None:
-            return LEADER_AGE_LIMIT_MS
+            return MAXIMUM_LEADER_AGE_MS
         age_ms = monotonic_ms() - core.leader_heard_at_ms
-        return min(max(age_ms, 0), LEADER_AGE_LIMIT_MS)
+        return min(max(age_ms, 0), MAXIMUM_LEADER_AGE_MS)
 
     async def submit(self, command: Command) -> None:
         """Replicate a command, here or by the leader; return once it is committed.
--- a/src/cinderway/control/_hall_assessor.py
+++ b/src/cinderway/control/_hall_assessor.py
@@ -34,7 +34,10 @@
 
 # A verdict changes with time too: ejections end, shares grow.
 REVIEW_MS = 500
+# Factor by which a service's usual time must move before entries are told anew.
 NORMAL_STEP = 1.25
+# Long enough for a server to fill its caches, short beside a failure's cost.
+SLOW_START_MS = 2_000
 
 _evidence_decoder = msgspec.msgpack.Decoder(list[ServerEvidence])
 
@@ -196,7 +199,3 @@
             floor_percent=self._rules.floor_percent,
             slow_start_ms=SLOW_START_MS,
         )
-
-
-# Long enough for a server to fill its caches, short beside a failure's cost.
-SLOW_START_MS = 2_000
--- a/src/cinderway/entry/_catalog_daemon.py
+++ b/src/cinderway/entry/_catalog_daemon.py
@@ -27,6 +27,7 @@
 # Longer than callers rest a connection, so that the entry never closes one that a
 # request is just being sent on.
 KEEP_ALIVE_S = 30
+# Largest answer of a backend server that is held whole.
 ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
 DRAIN_POLL_S = 0.02
 
--- a/src/cinderway/entry/_catalog_follower.py
+++ b/src/cinderway/entry/_catalog_follower.py
@@ -43,14 +43,17 @@
 LEADER_AGE_LIMIT_MS = 1_800
 FIND_TIMEOUT_S = 0.5
 CONNECT_TIMEOUT_S = 0.5
-RETRY_PAUSE_S = 0.1
+# Between two rounds through all replicas.
+RECONNECT_PAUSE_S = 0.1
 # A retry that has to wait longer for leave is hardly worth sending.
 RETRY_TIMEOUT_S = 0.25
 # How often an entry that follows another hall's replica looks for one in its own.
 LOOK_HOME_MS = 5_000
+# Between two looks for observations to send, and the time that sending may take.
 REPORT_PAUSE_S = 0.1
 # Good observations are gathered for this long; bad ones go out at the next look.
 GATHER_MS = 500
+# Takes all verdicts back that are in force.
 NO_VERDICTS = VerdictBatch([], [], [])
 
 
@@ -96,7 +99,7 @@
             for address in self._choice.candidates(monotonic_ms()):
                 if await self._try(address):
                     break
-            await anyio.sleep(RETRY_PAUSE_S)
+            await anyio.sleep(RECONNECT_PAUSE_S)
 
     # Retries.
 
--- a/src/cinderway/entry/_route_handler.py
+++ b/src/cinderway/entry/_route_handler.py
@@ -33,6 +33,7 @@
 # Spread, so that callers told to come back do not come together.
 RETRY_AFTER_MINIMUM_S = 0.2
 RETRY_AFTER_SPREAD_S = 0.4
+# Servers that one request may reach where its route does not say.
 DEFAULT_SERVER_LIMIT = 2
 # Several times the way to a caller; small beside any deadline of a second or more.
 ANSWER_MARGIN_MS = 60
--- a/src/cinderway/limits/_retry_pool.py
+++ b/src/cinderway/limits/_retry_pool.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 
+# The span that the `retry_burst` setting counts its requests in.
 WINDOW_MS = 10_000
 
 
