src: leftovers that nobody uses, behaviour unchanged

close_idle and idle_count of BackendConnections have no caller; the reasons kept with ejected servers were never read; _nothing was contextlib.nullcontext.

--- a/src/cinderway/_http_server.py
+++ b/src/cinderway/_http_server.py
@@ -1,5 +1,7 @@
 """An HTTP server for one ASGI application, without timers of its own at rest."""
 
+import contextlib
+
 import anyio
 import uvicorn
 from anyio.abc import TaskStatus
@@ -25,7 +27,7 @@
 
     def capture_signals(self):
         """Handle no signals."""
-        return _nothing()
+        return contextlib.nullcontext()
 
     async def main_loop(self) -> None:
         """Wait until `stop` is called."""
@@ -37,14 +39,6 @@
         self._stop_asked.set()
 
 
-class _nothing:
-    def __enter__(self):
-        return None
-
-    def __exit__(self, *exc_info):
-        return None
-
-
 def http_server(
     address: Address, app, *, keep_alive_s: float = DEFAULT_KEEP_ALIVE_S
 ) -> QuietServer:
--- a/src/cinderway/control/_hall_assessor.py
+++ b/src/cinderway/control/_hall_assessor.py
@@ -60,7 +60,7 @@
         self._has_evidence = False
         self._decided_at_ms = 0
         self._said_normal_ms: dict[ServiceName, float] = {}
-        self._ejected: dict[ServerName, str] = {}
+        self._ejected: set[ServerName] = set()
         self._suspicions = Suspicions()
         self._new_suspects: dict[ServerName, int] = {}
 
@@ -175,10 +175,10 @@
     ) -> None:
         was_ejected = server in self._ejected
         if is_ejected and not was_ejected:
-            self._ejected[server] = reason
+            self._ejected.add(server)
             logger.info("ejected %s/%s: %s, score %.1f", service, server, reason, score)
         elif was_ejected and not is_ejected:
-            del self._ejected[server]
+            self._ejected.remove(server)
             logger.info("took back %s/%s", service, server)
 
     def _normal_ms(self) -> dict[ServiceName, float]:
--- a/src/cinderway/entry/_backends.py
+++ b/src/cinderway/entry/_backends.py
@@ -281,15 +281,6 @@
         idle.append(connection)
         return True
 
-    async def close_idle(self, address: Address) -> None:
-        """Close what is idle towards an address."""
-        for connection in self._idle.pop(address, ()):
-            await connection.http.aclose()
-
-    def idle_count(self, address: Address) -> int:
-        """How many idle connections are kept to an address."""
-        return len(self._idle.get(address, ()))
-
     async def _idle_connection(self, address: Address) -> _PooledConnection | None:
         idle = self._idle.get(address)
         while idle:
