--- a/src/cinderway/control/_catalog_http.py
+++ b/src/cinderway/control/_catalog_http.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._http_body import whole_body
 from cinderway._ids import Address, DataHall, ServerName, ServiceName
 from cinderway.catalog import (
     Deregister,
@@ -178,23 +179,12 @@
 
 
 async def _read_body(receive, limit_bytes: int) -> bytes:
-    parts, size_bytes = [], 0
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            raise CinderwayError(
-                ErrorCode.PEER_UNREACHABLE, "the body was cut short", step=Step.RECEIVE
-            )
-        parts.append(message.get("body", b""))
-        size_bytes += len(parts[-1])
-        if size_bytes > limit_bytes:
-            raise CinderwayError(
-                ErrorCode.REQUEST_TOO_LARGE,
-                f"the body is over {limit_bytes} bytes",
-                step=Step.RECEIVE,
-            )
-        if not message.get("more_body"):
-            return b"".join(parts)
+    body = await whole_body(receive, limit_bytes)
+    if body is None:
+        raise CinderwayError(
+            ErrorCode.PEER_UNREACHABLE, "the body was cut short", step=Step.RECEIVE
+        )
+    return body
 
 
 def _retry_after(status: int) -> list:
--- a/src/cinderway/entry/_requests.py
+++ b/src/cinderway/entry/_requests.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._http_body import whole_body
 from cinderway._ids import AttemptId, CallerName, ServerName
 from cinderway.entry._backends import (
     DEADLINE_HEADER,
@@ -147,23 +147,14 @@
 
 
 async def read_body(receive, limit_bytes: int) -> bytes:
-    """Read a request's whole body; raises REQUEST_TOO_LARGE over the limit."""
-    parts = []
-    size_bytes = 0
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            raise CallerLeftError
-        parts.append(message.get("body", b""))
-        size_bytes += len(parts[-1])
-        if size_bytes > limit_bytes:
-            raise CinderwayError(
-                ErrorCode.REQUEST_TOO_LARGE,
-                f"the body is over {limit_bytes} bytes",
-                step=Step.RECEIVE,
-            )
-        if not message.get("more_body"):
-            return b"".join(parts)
+    """Read a request's whole body.
+
+    Raises CinderwayError with REQUEST_TOO_LARGE over the limit, and CallerLeftError.
+    """
+    body = await whole_body(receive, limit_bytes)
+    if body is None:
+        raise CallerLeftError
+    return body
 
 
 class CallerLeftError(Exception):
