--- a/src/cinderway/control/_hall_assessor.py
+++ b/src/cinderway/control/_hall_assessor.py
@@ -1,10 +1,12 @@
 """Judge backend servers from the observations of the entries that follow here.
 
-Entries follow a replica of their own data hall, so what is judged here is how servers
-look from this hall, and evidence never crosses halls. Pure: time is passed in.
+Entries follow a replica of their own data hall where there is one, so what is judged
+here is how servers look from this hall, and evidence stays in it. Pure: time is
+passed in.
 """
 
 import logging
+from collections.abc import Collection
 from dataclasses import dataclass
 
 import msgspec
@@ -13,6 +15,7 @@
 from cinderway.catalog import (
     CatalogMachine,
     EvidenceBatch,
+    RegisteredServer,
     ServerStatus,
     SuspectServers,
     VerdictBatch,
@@ -21,6 +24,7 @@
 from cinderway.judgement import (
     Capacity,
     ServerEvidence,
+    ServerRecord,
     ServiceJudge,
     Standing,
     Suspicions,
@@ -127,56 +131,38 @@
         now_ms: int,
     ) -> None:
         row = self._row(service)
-        servers = {
-            server.server_id: server
-            for server in catalog.registry.servers.values()
-            if server.service == service
-        }
+        servers = _servers_of(catalog, service)
         judge.decide(row, servers.keys(), now_ms)
-        records = [r for r in judge.records() if r.standing is not Standing.HEALTHY]
-        condemned = {r.name: r.score for r in records if is_out(r.standing)}
-        capacities = [
-            Capacity(
-                server.server_id,
-                server.slots,
-                server.status is ServerStatus.ACTIVE,
-                server.server_id in condemned,
-                condemned.get(server.server_id, 0.0),
-            )
-            for server in servers.values()
-        ]
-        slots = sum(c.slots for c in capacities if c.is_available)
-        permitted = permitted_ejections(capacities, floor_slots_of(row, slots))
-        for record in records:
+        records = judge.records()
+        suspected = [r for r in records if r.standing is not Standing.HEALTHY]
+        permitted = _permitted(row, servers, suspected)
+        for record in suspected:
             is_ejected = record.name in permitted
-            self._note(service, record.name, is_ejected, record.reason, record.score)
-            line = VerdictLine(
-                service,
-                record.name,
-                is_ejected,
-                round(judge.share(record, row, now_ms), 1),
-                record.reason,
-                round(record.score, 1),
-            )
+            self._note(service, record, is_ejected)
+            share = judge.share(record, row, now_ms)
+            line = _line_of(service, record, is_ejected, share)
             for hall in record.halls or lines:
                 if hall in lines:
                     lines[hall].append(line)
-        for record in judge.records():
+        for record in records:
             if record.standing is Standing.HEALTHY:
-                self._note(service, record.name, False, record.reason, record.score)
+                self._note(service, record, is_ejected=False)
 
     def _note(
-        self,
-        service: ServiceName,
-        server: ServerName,
-        is_ejected: bool,
-        reason: str,
-        score: float,
+        self, service: ServiceName, record: ServerRecord, is_ejected: bool
     ) -> None:
+        """Log an ejection when it begins and when it ends."""
+        server = record.name
         was_ejected = server in self._ejected
         if is_ejected and not was_ejected:
             self._ejected.add(server)
-            logger.info("ejected %s/%s: %s, score %.1f", service, server, reason, score)
+            logger.info(
+                "ejected %s/%s: %s, score %.1f",
+                service,
+                server,
+                record.reason,
+                record.score,
+            )
         elif was_ejected and not is_ejected:
             self._ejected.remove(server)
             logger.info("took back %s/%s", service, server)
@@ -199,3 +185,47 @@
             floor_percent=self._rules.floor_percent,
             slow_start_ms=SLOW_START_MS,
         )
+
+
+def _servers_of(
+    catalog: CatalogMachine, service: ServiceName
+) -> dict[ServerName, RegisteredServer]:
+    return {
+        server.server_id: server
+        for server in catalog.registry.servers.values()
+        if server.service == service
+    }
+
+
+def _permitted(
+    row: ServiceRow,
+    servers: dict[ServerName, RegisteredServer],
+    suspected: list[ServerRecord],
+) -> Collection[ServerName]:
+    """Return the servers to eject that the service's floor leaves room for."""
+    condemned = {r.name: r.score for r in suspected if is_out(r.standing)}
+    capacities = [
+        Capacity(
+            server.server_id,
+            server.slots,
+            server.status is ServerStatus.ACTIVE,
+            server.server_id in condemned,
+            condemned.get(server.server_id, 0.0),
+        )
+        for server in servers.values()
+    ]
+    slots = sum(c.slots for c in capacities if c.is_available)
+    return permitted_ejections(capacities, floor_slots_of(row, slots))
+
+
+def _line_of(
+    service: ServiceName, record: ServerRecord, is_ejected: bool, share: float
+) -> VerdictLine:
+    return VerdictLine(
+        service,
+        record.name,
+        is_ejected,
+        round(share, 1),
+        record.reason,
+        round(record.score, 1),
+    )
--- a/src/cinderway/judgement/__init__.py
+++ b/src/cinderway/judgement/__init__.py
@@ -27,7 +27,7 @@
 from cinderway.judgement._floor import Capacity, floor_slots_of, permitted_ejections
 from cinderway.judgement._judge import DRAIN_VALID_MS, ServiceJudge
 from cinderway.judgement._merge import Agreed, HeldSheet, merge_sheets, service_norms
-from cinderway.judgement._record import is_out
+from cinderway.judgement._record import ServerRecord, is_out
 from cinderway.judgement._suspicion import Suspicions
 
 __all__ = [
@@ -47,6 +47,7 @@
     "ReporterState",
     "ServerCounts",
     "ServerEvidence",
+    "ServerRecord",
     "ServerVerdict",
     "ServiceJudge",
     "ServiceNormal",
