--- a/src/cinderway/control/_catalog_http.py
+++ b/src/cinderway/control/_catalog_http.py
@@ -42,6 +42,9 @@
     ErrorCode.HEARTBEAT_INVALID: 400,
     ErrorCode.REQUEST_TOO_LARGE: 413,
 }
+OK = 200
+TEMPORARY_REDIRECT = 307
+NOT_FOUND = 404
 UNAVAILABLE = 503
 
 
@@ -62,6 +65,15 @@
     sequence: int = 0
 
 
+@dataclass(frozen=True)
+class Answer:
+    """An HTTP answer whose body is JSON."""
+
+    status: int
+    body: bytes = b"{}"
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+
 _heartbeat_decoder = msgspec.json.Decoder(Heartbeat, strict=True)
 
 
@@ -77,18 +89,14 @@
             return
         call = (scope["method"], scope["path"])
         try:
-            status, body, headers = await self._answer(call, receive)
+            answer = await self._answer(call, receive)
         except CinderwayError as error:
-            status = STATUS_OF_CODE.get(error.code, UNAVAILABLE)
-            body = msgspec.json.encode(
-                {"code": error.code.value, "detail": error.detail}
-            )
-            headers = _retry_after(status)
-            if status != UNAVAILABLE or call[1] == SHEET_PATH:
-                logger.info("%s %s: %d, %s", *call, status, error)
-        await _respond(send, status, body, headers)
+            answer = _refusal(error)
+            if answer.status != UNAVAILABLE or call[1] == SHEET_PATH:
+                logger.info("%s %s: %d, %s", *call, answer.status, error)
+        await _respond(send, answer)
 
-    async def _answer(self, call, receive) -> tuple[int, bytes, list]:
+    async def _answer(self, call, receive) -> Answer:
         match call:
             case ("PUT", path) if path == SHEET_PATH:
                 return await self._put_sheet(receive)
@@ -100,9 +108,9 @@
             case ("DELETE", path) if path.startswith(SERVERS_PREFIX):
                 server_id = ServerName(path.removeprefix(SERVERS_PREFIX))
                 return await self._delete_server(server_id)
-        return 404, b"{}", []
+        return Answer(NOT_FOUND)
 
-    async def _put_sheet(self, receive) -> tuple[int, bytes, list]:
+    async def _put_sheet(self, receive) -> Answer:
         body = await _read_body(receive, SHEET_LIMIT_BYTES)
         sheet = decode_sheet(body)
         held = self.service.machine.sheet
@@ -112,9 +120,9 @@
             sheet.version,
             held.version if held else "none",
         )
-        return 200, b"{}", []
+        return Answer(OK)
 
-    async def _get_sheet(self) -> tuple[int, bytes, list]:
+    async def _get_sheet(self) -> Answer:
         node = self.service.node
         if not node.core.is_leader:
             return self._redirect()
@@ -123,18 +131,19 @@
             raise CinderwayError(
                 ErrorCode.TABLE_UNKNOWN, "no sheet was put yet", step=Step.CHECK_EDIT
             )
-        return 200, self.service.machine.sheet_body, []
+        return Answer(OK, self.service.machine.sheet_body)
 
-    def _redirect(self) -> tuple[int, bytes, list]:
+    def _redirect(self) -> Answer:
         leader = self.service.machine.replicas.get(self.service.node.leader_address)
         if leader is None:
             raise CinderwayError(
                 ErrorCode.NO_QUORUM, "no leader is known here", step=Step.PROPOSE
             )
         location = f"http://{leader.http_address}{SHEET_PATH}"
-        return 307, b"{}", [(b"location", location.encode())]
+        headers = ((b"location", location.encode()),)
+        return Answer(TEMPORARY_REDIRECT, headers=headers)
 
-    async def _put_server(self, server_id, receive) -> tuple[int, bytes, list]:
+    async def _put_server(self, server_id, receive) -> Answer:
         body = await _read_body(receive, HEARTBEAT_LIMIT_BYTES)
         server = _server_from(server_id, body)
         registry = self.service.machine.registry
@@ -147,13 +156,13 @@
                 server.address,
                 server.status.value,
             )
-        return 200, b"{}", []
+        return Answer(OK)
 
-    async def _delete_server(self, server_id: ServerName) -> tuple[int, bytes, list]:
+    async def _delete_server(self, server_id: ServerName) -> Answer:
         if server_id not in self.service.machine.registry.gone:
             await self.service.submit(Deregister(server_id))
             logger.info("backend server %s is gone", server_id)
-        return 200, b"{}", []
+        return Answer(OK)
 
 
 def _server_from(server_id: ServerName, body: bytes) -> RegisteredServer:
@@ -187,15 +196,21 @@
     return body
 
 
-def _retry_after(status: int) -> list:
+def _refusal(error: CinderwayError) -> Answer:
+    status = STATUS_OF_CODE.get(error.code, UNAVAILABLE)
+    body = msgspec.json.encode({"code": error.code.value, "detail": error.detail})
     if status != UNAVAILABLE:
-        return []
-    return [(b"retry-after", str(RETRY_AFTER_S).encode())]
+        return Answer(status, body)
+    return Answer(status, body, ((b"retry-after", str(RETRY_AFTER_S).encode()),))
 
 
-async def _respond(send, status: int, body: bytes, headers: list) -> None:
-    own = [(b"content-type", JSON), (b"content-length", b"%d" % len(body))]
+async def _respond(send, answer: Answer) -> None:
+    headers = [
+        (b"content-type", JSON),
+        (b"content-length", b"%d" % len(answer.body)),
+        *answer.headers,
+    ]
     await send(
-        {"type": "http.response.start", "status": status, "headers": own + headers}
+        {"type": "http.response.start", "status": answer.status, "headers": headers}
     )
-    await send({"type": "http.response.body", "body": body})
+    await send({"type": "http.response.body", "body": answer.body})
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -1,4 +1,8 @@
-"""Serves the catalog's conversation from one control replica."""
+"""Serves the catalog's conversation from one control replica.
+
+Entries follow the catalog here, bring their observations and ask for retries; other
+replicas pass on commands for the leader and servers that have just failed.
+"""
 
 import logging
 from dataclasses import dataclass, field
@@ -158,10 +162,12 @@
         for service, count in zip(batch.services, batch.first_requests, strict=True):
             self.retry_pools.earn(service, count, len(self.followers), now_ms)
         suspects = self.assessor.new_suspects(now_ms)
-        if suspects is None:
-            return
-        # The entry that saw them fail avoids them already.
-        self._tell_entries(suspects, without=batch.entry)
+        if suspects is not None:
+            # The entry that saw them fail avoids them already.
+            self._tell_entries(suspects, without=batch.entry)
+            self._tell_replicas(suspects)
+
+    def _tell_replicas(self, suspects: SuspectServers) -> None:
         for address in self.machine.replicas:
             if address != self.own.address:
                 self._tasks.start_soon(self._tell_replica, address, suspects)
