--- a/src/cinderway/entry/_route_handler.py
+++ b/src/cinderway/entry/_route_handler.py
@@ -1,4 +1,8 @@
-"""The callers' side of an entry that serves by the catalog's route sheet."""
+"""The callers' side of an entry that serves by the catalog's route sheet.
+
+Each request ends with one log line. An answer of 503 that is the entry's own promises
+that no backend server has run the request.
+"""
 
 import logging
 from collections.abc import Awaitable, Callable
@@ -88,18 +92,10 @@
     ) -> None:
         served.route = route = self._route_of(scope)
         deadline_ms = self._deadline_of(scope, route, served.started_at_ms)
-        limits = self.state.mirror.sheet.limits
-        with anyio.move_on_after((deadline_ms - monotonic_ms()) / 1000) as reading:
-            body = await read_body(receive, limits.body_limit_bytes)
-        if reading.cancelled_caught:
-            raise CinderwayError(
-                ErrorCode.DEADLINE_PASSED,
-                "the request's body did not come in time",
-                step=Step.RECEIVE,
-            )
+        body = await self._body_by(deadline_ms, receive)
         served.service = pick_service(route, self.state.board.rng)
         attempt_id = served.attempt_id
-        request = CallerRequest(
+        served.request = request = CallerRequest(
             method=scope["method"],
             path=scope["path"],
             headers=scope["headers"],
@@ -110,9 +106,20 @@
             attempt_id=AttemptId(attempt_id) if attempt_id else None,
             server_limit=route.server_limit or DEFAULT_SERVER_LIMIT,
         )
-        served.request = request
         await self._attempt(route, served.service, request, receive, reply)
 
+    async def _body_by(self, deadline_ms: int, receive: Receive) -> bytes:
+        limit_bytes = self.state.mirror.sheet.limits.body_limit_bytes
+        with anyio.move_on_after((deadline_ms - monotonic_ms()) / 1000) as reading:
+            body = await read_body(receive, limit_bytes)
+        if reading.cancelled_caught:
+            raise CinderwayError(
+                ErrorCode.DEADLINE_PASSED,
+                "the request's body did not come in time",
+                step=Step.RECEIVE,
+            )
+        return body
+
     def _route_of(self, scope: dict) -> RouteRow:
         if self.state.routes is None:
             raise CinderwayError(
