--- a/src/cinderway/_settings_watch.py
+++ b/src/cinderway/_settings_watch.py
@@ -1,4 +1,8 @@
-"""Take over changes of the settings file while the process runs."""
+"""Take over changes of the settings file while the process runs.
+
+The file is read again at SIGHUP and every few seconds. The process is handed the new
+settings as a whole and decides which of them it can change without a restart.
+"""
 
 import logging
 import signal
--- a/src/cinderway/catalog/_commands.py
+++ b/src/cinderway/catalog/_commands.py
@@ -1,4 +1,8 @@
-"""The commands that control replicates to change the catalog."""
+"""The commands that control replicates to change the catalog.
+
+Their encoding stands in logs on disk: a field may be added with a default, but neither
+renamed there nor removed.
+"""
 
 import msgspec
 
--- a/src/cinderway/catalog/_routes.py
+++ b/src/cinderway/catalog/_routes.py
@@ -1,4 +1,8 @@
-"""Find a request's route: the longest path prefix among its host's routes."""
+"""Find a request's route: the longest path prefix among its host's routes.
+
+Prefixes match as written and end with a slash; hosts match without port and in any
+case. Pure: randomness is passed in.
+"""
 
 import random
 
--- a/src/cinderway/control/_catalog_daemon.py
+++ b/src/cinderway/control/_catalog_daemon.py
@@ -1,4 +1,8 @@
-"""The control process that keeps the service catalog."""
+"""The control process that keeps the service catalog.
+
+One process holds one replica of the catalog, serves the entries that follow it and
+answers operators and backend servers by HTTP.
+"""
 
 import logging
 
--- a/src/cinderway/control/_daemon.py
+++ b/src/cinderway/control/_daemon.py
@@ -1,4 +1,4 @@
-"""The control process."""
+"""The control process that keeps the service table."""
 
 from pathlib import Path
 
--- a/src/cinderway/entry/_attempts.py
+++ b/src/cinderway/entry/_attempts.py
@@ -1,4 +1,9 @@
-"""Whole answers: attempt, hedge and retry until one is there."""
+"""Whole answers: attempt, hedge and retry until one is there.
+
+A request that may have run is sent again only if it is repeatable. Hedges and retries
+are paid for from a retry budget and bounded by the request's server limit; retries
+after a shed are neither, unless `pays_for_sheds` is set.
+"""
 
 import itertools
 from dataclasses import dataclass, field
--- a/src/cinderway/entry/_catalog_daemon.py
+++ b/src/cinderway/entry/_catalog_daemon.py
@@ -1,4 +1,8 @@
-"""The entry process that serves by the service catalog."""
+"""The entry process that serves by the service catalog.
+
+It keeps serving by the catalog that it holds while no control replica is reached, and
+stops without cutting requests short that end before the stop limit.
+"""
 
 import logging
 import random
--- a/src/cinderway/entry/_daemon.py
+++ b/src/cinderway/entry/_daemon.py
@@ -1,4 +1,4 @@
-"""The entry process."""
+"""The entry process that serves by the service table."""
 
 import logging
 import random
