--- a/src/cinderway/catalog/_commands.py
+++ b/src/cinderway/catalog/_commands.py
@@ -1,4 +1,8 @@
-"""The commands that control replicates to change the catalog."""
+"""The commands that control replicates to change the catalog.
+
+Their encoding stands in logs on disk: a field may be added with a default, but neither
+renamed there nor removed.
+"""
 
 import msgspec
 
@@ -28,11 +32,16 @@
 
 
 class AnnounceReplica(msgspec.Struct, frozen=True, tag="replica"):
-    """Tell the fleet which data hall a control replica stands in."""
+    """Tell the fleet where a control replica is, and in which data hall.
+
+    `address` is where the fleet's own processes reach it, `http_address` where
+    operators and backend servers do.
+    """
 
     address: Address
     data_hall: DataHall
-    operators_address: Address
+    # Encoded under its first name: logs and snapshots on disk hold it so.
+    http_address: Address = msgspec.field(name="operators_address")
 
 
 Command = InstallSheet | Register | Deregister | AnnounceReplica
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -1,4 +1,8 @@
-"""Serves the catalog's conversation from one control replica."""
+"""Serves the catalog's conversation from one control replica.
+
+Entries follow the catalog here, bring their observations and ask for retries; other
+replicas pass on commands for the leader and servers that have just failed.
+"""
 
 import logging
 from dataclasses import dataclass, field
@@ -7,7 +11,7 @@
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway._ids import Address, DataHall, EntryName, ServiceName
+from cinderway._ids import Address, EntryName, ServiceName
 from cinderway.catalog import (
     CATALOG,
     AnnounceReplica,
@@ -22,11 +26,11 @@
     SubmitCommand,
     SuspectServers,
     TakeRetry,
-    VerdictBatch,
     encode_command,
 )
+from cinderway.control._follower import Follower
 from cinderway.control._hall_assessor import HallAssessor
-from cinderway.limits import RetryPool
+from cinderway.control._retry_pools import RetryPools
 from cinderway.replication import Node
 from cinderway.wire import (
     Connection,
@@ -43,14 +47,14 @@
 
 # An operator's or server's call waits a second for its answer; then it goes elsewhere.
 PROPOSE_TIMEOUT_S = 2.5
-# Entries change replica after three of these without a sign.
-HEARTBEAT_S = 0.5
-SEND_TIMEOUT_S = 1.0
-# A suspicion lasts a second or more; told later it is worth little.
+# A first suspicion lasts 400 ms; told much later it is worth little.
 TELL_TIMEOUT_S = 0.3
+# Between two tries to announce this replica.
 ANNOUNCE_PAUSE_S = 0.5
+# Between two looks for observations to judge.
 ASSESS_PAUSE_S = 0.1
-LEADER_AGE_LIMIT_MS = 2**31
+# Stands also for a leader never heard from; the heartbeat's field has 32 bits.
+MAXIMUM_LEADER_AGE_MS = 2**31
 
 
 def may_take_commands(voters: int, least_voters: int, has_sheet: bool) -> bool:
@@ -63,26 +67,6 @@
     return has_sheet or voters >= least_voters
 
 
-@dataclass(eq=False)
-class Follower:
-    """One entry that follows the catalog here."""
-
-    entry: EntryName
-    data_hall: DataHall
-    known_revision: int
-    verdicts: VerdictBatch | None = None
-    suspects: list[SuspectServers] = field(default_factory=list)
-    news: anyio.Event = field(default_factory=anyio.Event)
-
-
-@dataclass(frozen=True)
-class RetryRules:
-    """The share of retries for each service, and the extra ones for each entry."""
-
-    percent: int
-    extra_per_entry: float
-
-
 @dataclass
 class CatalogService:
     """Hands out the catalog, takes evidence, and brings commands to the leader."""
@@ -93,9 +77,8 @@
     own: AnnounceReplica
     least_voters: int
     assessor: HallAssessor
-    retries: RetryRules
+    retry_pools: RetryPools
     followers: set[Follower] = field(default_factory=set)
-    _pools: dict[ServiceName, RetryPool] = field(default_factory=dict)
     _clients: dict[Address, RpcClient] = field(default_factory=dict)
     _tasks: anyio.abc.TaskGroup | None = None
 
@@ -118,9 +101,9 @@
         if core.is_leader:
             return 0
         if core.leader_heard_at_ms is None:
-            return LEADER_AGE_LIMIT_MS
+            return MAXIMUM_LEADER_AGE_MS
         age_ms = monotonic_ms() - core.leader_heard_at_ms
-        return min(max(age_ms, 0), LEADER_AGE_LIMIT_MS)
+        return min(max(age_ms, 0), MAXIMUM_LEADER_AGE_MS)
 
     async def submit(self, command: Command) -> None:
         """Replicate a command, here or by the leader; return once it is committed.
@@ -185,12 +168,14 @@
         now_ms = monotonic_ms()
         self.assessor.take(batch, now_ms)
         for service, count in zip(batch.services, batch.first_requests, strict=True):
-            self._pool_of(service, now_ms).earn(count)
+            self.retry_pools.earn(service, count, len(self.followers), now_ms)
         suspects = self.assessor.new_suspects(now_ms)
-        if suspects is None:
-            return
-        # The entry that saw them fail avoids them already.
-        self._tell_entries(suspects, without=batch.entry)
+        if suspects is not None:
+            # The entry that saw them fail avoids them already.
+            self._tell_entries(suspects, without=batch.entry)
+            self._tell_replicas(suspects)
+
+    def _tell_replicas(self, suspects: SuspectServers) -> None:
         for address in self.machine.replicas:
             if address != self.own.address:
                 self._tasks.start_soon(self._tell_replica, address, suspects)
@@ -198,8 +183,7 @@
     def _tell_entries(self, suspects: SuspectServers, without: EntryName = "") -> None:
         for follower in self.followers:
             if follower.entry != without:
-                follower.suspects.append(suspects)
-                follower.news.set()
+                follower.tell_suspects(suspects)
 
     async def _tell_replica(self, address: Address, suspects: SuspectServers) -> None:
         try:
@@ -207,14 +191,6 @@
         except CinderwayError as error:
             logger.debug("a replica was not told of suspects: %s", error)
 
-    def _pool_of(self, service: ServiceName, now_ms: int) -> RetryPool:
-        pool = self._pools.get(service)
-        if pool is None:
-            pool = RetryPool(self.retries.percent, 0.0, now_ms)
-            self._pools[service] = pool
-        pool.extra = self.retries.extra_per_entry * len(self.followers)
-        return pool
-
     async def _answer(
         self, connection: Connection, call_id: int, message: Message
     ) -> None:
@@ -236,47 +212,35 @@
                     self._tell_entries(suspects)
                     return Done()
                 case TakeRetry(service=service):
-                    now_ms = monotonic_ms()
-                    return RetryAnswer(self._pool_of(service, now_ms).take(now_ms))
+                    return RetryAnswer(self._take_retry(service))
         except CinderwayError as error:
             return failure_from(error, self.node.leader_address)
         raise AssertionError(f"no answer for {type(message).__name__}")
 
+    def _take_retry(self, service: ServiceName) -> bool:
+        return self.retry_pools.take(service, len(self.followers), monotonic_ms())
+
     async def _feed(self, connection: Connection, request: FollowCatalog) -> None:
-        follower = Follower(request.entry, request.data_hall, request.known_revision)
+        follower = Follower(
+            request.entry,
+            request.data_hall,
+            request.known_revision,
+            connection,
+            self.machine,
+            self._heartbeat,
+        )
         self.followers.add(follower)
-        sent_verdicts: VerdictBatch | None = None
-        heartbeat_at_ms = monotonic_ms()
         logger.info(
             "entry %s follows from revision %d", request.entry, request.known_revision
         )
         try:
-            while True:
-                follower.news = anyio.Event()
-                if self.machine.revision > follower.known_revision:
-                    update = self.machine.update_since(follower.known_revision)
-                    await self._send(connection, update)
-                    follower.known_revision = update.revision
-                while follower.suspects:
-                    await self._send(connection, follower.suspects.pop(0))
-                if follower.verdicts != sent_verdicts:
-                    sent_verdicts = follower.verdicts
-                    await self._send(connection, sent_verdicts)
-                if monotonic_ms() >= heartbeat_at_ms:
-                    await self._send(connection, self._heartbeat())
-                    heartbeat_at_ms = monotonic_ms() + round(HEARTBEAT_S * 1000)
-                with anyio.move_on_after(HEARTBEAT_S):
-                    await follower.news.wait()
+            await follower.feed()
         except (CinderwayError, TimeoutError) as error:
             logger.info("entry %s no longer follows: %s", request.entry, error)
             await connection.aclose()
         finally:
             self.followers.discard(follower)
 
-    async def _send(self, connection: Connection, message: Message) -> None:
-        with anyio.fail_after(SEND_TIMEOUT_S):
-            await connection.send(message)
-
     def _heartbeat(self) -> CatalogHeartbeat:
         return CatalogHeartbeat(
             self.leader_age_ms(), self.machine.revision, len(self.followers)
@@ -286,7 +250,7 @@
         while True:
             await self.node.wait_applied()
             for follower in self.followers:
-                follower.news.set()
+                follower.wake()
 
     async def _assess(self) -> None:
         while True:
@@ -296,9 +260,8 @@
             views = self.assessor.decide(self.machine, monotonic_ms())
             for follower in self.followers:
                 verdicts = views.get(follower.data_hall)
-                if verdicts is not None and verdicts != follower.verdicts:
-                    follower.verdicts = verdicts
-                    follower.news.set()
+                if verdicts is not None:
+                    follower.tell_verdicts(verdicts)
 
     async def _announce(self) -> None:
         """Tell the fleet where this replica is, once it is a member of the group."""
--- a/src/cinderway/control/_hall_assessor.py
+++ b/src/cinderway/control/_hall_assessor.py
@@ -1,10 +1,12 @@
 """Judge backend servers from the observations of the entries that follow here.
 
-Entries follow a replica of their own data hall, so what is judged here is how servers
-look from this hall, and evidence never crosses halls. Pure: time is passed in.
+Entries follow a replica of their own data hall where there is one, so what is judged
+here is how servers look from this hall, and evidence stays in it. Pure: time is
+passed in.
 """
 
 import logging
+from collections.abc import Collection
 from dataclasses import dataclass
 
 import msgspec
@@ -13,6 +15,7 @@
 from cinderway.catalog import (
     CatalogMachine,
     EvidenceBatch,
+    RegisteredServer,
     ServerStatus,
     SuspectServers,
     VerdictBatch,
@@ -21,6 +24,7 @@
 from cinderway.judgement import (
     Capacity,
     ServerEvidence,
+    ServerRecord,
     ServiceJudge,
     Standing,
     Suspicions,
@@ -34,7 +38,10 @@
 
 # A verdict changes with time too: ejections end, shares grow.
 REVIEW_MS = 500
+# Factor by which a service's usual time must move before entries are told anew.
 NORMAL_STEP = 1.25
+# Long enough for a server to fill its caches, short beside a failure's cost.
+SLOW_START_MS = 2_000
 
 _evidence_decoder = msgspec.msgpack.Decoder(list[ServerEvidence])
 
@@ -57,7 +64,7 @@
         self._has_evidence = False
         self._decided_at_ms = 0
         self._said_normal_ms: dict[ServiceName, float] = {}
-        self._ejected: dict[ServerName, str] = {}
+        self._ejected: set[ServerName] = set()
         self._suspicions = Suspicions()
         self._new_suspects: dict[ServerName, int] = {}
 
@@ -124,58 +131,40 @@
         now_ms: int,
     ) -> None:
         row = self._row(service)
-        servers = {
-            server.server_id: server
-            for server in catalog.registry.servers.values()
-            if server.service == service
-        }
+        servers = _servers_of(catalog, service)
         judge.decide(row, servers.keys(), now_ms)
-        records = [r for r in judge.records() if r.standing is not Standing.HEALTHY]
-        condemned = {r.name: r.score for r in records if is_out(r.standing)}
-        capacities = [
-            Capacity(
-                server.server_id,
-                server.slots,
-                server.status is ServerStatus.ACTIVE,
-                server.server_id in condemned,
-                condemned.get(server.server_id, 0.0),
-            )
-            for server in servers.values()
-        ]
-        slots = sum(c.slots for c in capacities if c.is_available)
-        permitted = permitted_ejections(capacities, floor_slots_of(row, slots))
-        for record in records:
+        records = judge.records()
+        suspected = [r for r in records if r.standing is not Standing.HEALTHY]
+        permitted = _permitted(row, servers, suspected)
+        for record in suspected:
             is_ejected = record.name in permitted
-            self._note(service, record.name, is_ejected, record.reason, record.score)
-            line = VerdictLine(
-                service,
-                record.name,
-                is_ejected,
-                round(judge.share(record, row, now_ms), 1),
-                record.reason,
-                round(record.score, 1),
-            )
+            self._note(service, record, is_ejected)
+            share = judge.share(record, row, now_ms)
+            line = _line_of(service, record, is_ejected, share)
             for hall in record.halls or lines:
                 if hall in lines:
                     lines[hall].append(line)
-        for record in judge.records():
+        for record in records:
             if record.standing is Standing.HEALTHY:
-                self._note(service, record.name, False, record.reason, record.score)
+                self._note(service, record, is_ejected=False)
 
     def _note(
-        self,
-        service: ServiceName,
-        server: ServerName,
-        is_ejected: bool,
-        reason: str,
-        score: float,
+        self, service: ServiceName, record: ServerRecord, is_ejected: bool
     ) -> None:
+        """Log an ejection when it begins and when it ends."""
+        server = record.name
         was_ejected = server in self._ejected
         if is_ejected and not was_ejected:
-            self._ejected[server] = reason
-            logger.info("ejected %s/%s: %s, score %.1f", service, server, reason, score)
+            self._ejected.add(server)
+            logger.info(
+                "ejected %s/%s: %s, score %.1f",
+                service,
+                server,
+                record.reason,
+                record.score,
+            )
         elif was_ejected and not is_ejected:
-            del self._ejected[server]
+            self._ejected.remove(server)
             logger.info("took back %s/%s", service, server)
 
     def _normal_ms(self) -> dict[ServiceName, float]:
@@ -198,5 +187,45 @@
         )
 
 
-# Long enough for a server to fill its caches, short beside a failure's cost.
-SLOW_START_MS = 2_000
+def _servers_of(
+    catalog: CatalogMachine, service: ServiceName
+) -> dict[ServerName, RegisteredServer]:
+    return {
+        server.server_id: server
+        for server in catalog.registry.servers.values()
+        if server.service == service
+    }
+
+
+def _permitted(
+    row: ServiceRow,
+    servers: dict[ServerName, RegisteredServer],
+    suspected: list[ServerRecord],
+) -> Collection[ServerName]:
+    """Return the servers to eject that the service's floor leaves room for."""
+    condemned = {r.name: r.score for r in suspected if is_out(r.standing)}
+    capacities = [
+        Capacity(
+            server.server_id,
+            server.slots,
+            server.status is ServerStatus.ACTIVE,
+            server.server_id in condemned,
+            condemned.get(server.server_id, 0.0),
+        )
+        for server in servers.values()
+    ]
+    slots = sum(c.slots for c in capacities if c.is_available)
+    return permitted_ejections(capacities, floor_slots_of(row, slots))
+
+
+def _line_of(
+    service: ServiceName, record: ServerRecord, is_ejected: bool, share: float
+) -> VerdictLine:
+    return VerdictLine(
+        service,
+        record.name,
+        is_ejected,
+        round(share, 1),
+        record.reason,
+        round(record.score, 1),
+    )
