entry: log lines name the reason where an error has no text

'lost control replica 10.1.0.42:7700: ;' and 'the attempt failed: (step …)': an exception without a text is true, so the word given for that case never stood there.

--- a/src/cinderway/entry/_backends.py
+++ b/src/cinderway/entry/_backends.py
@@ -345,7 +345,7 @@
     step = Step.AWAIT_ANSWER if connection.sending_began else Step.CONNECT
     return CinderwayError(
         ErrorCode.BACKEND_FAILED,
-        f"the attempt failed: {error or type(error).__name__}",
+        f"the attempt failed: {str(error) or type(error).__name__}",
         step=step,
         peer=address,
     )
--- a/src/cinderway/entry/_catalog_follower.py
+++ b/src/cinderway/entry/_catalog_follower.py
@@ -123,7 +123,7 @@
                 await connection.send(TakeRetry(service.row.name), call_id)
                 await asked.done.wait()
         except (CinderwayError, TimeoutError) as error:
-            logger.info("no retry granted: %s", error or "no answer in time")
+            logger.info("no retry granted: %s", str(error) or "no answer in time")
         finally:
             del self._asked[call_id]
         return asked.is_granted
@@ -151,7 +151,7 @@
             logger.warning(
                 "lost control replica %s: %s; catalog %d stays in force",
                 address,
-                error or "silent",
+                str(error) or "silent",
                 self.state.mirror.revision,
             )
         finally:
