--- a/src/cinderway/control/_catalog_daemon.py
+++ b/src/cinderway/control/_catalog_daemon.py
@@ -31,7 +31,15 @@
 GROUP = "catalog"
 # Quiet enough for a fleet that pays for each byte between halls, and still a new
 # leader within two seconds: half of what an accepted change may take to be in force.
-TIMING = Timing(heartbeat_ms=250, election_min_ms=900, election_max_ms=1_500)
+# Replicas that are started together listen within some tens of milliseconds, and a vote
+# takes one sync of a disk (1 to 5 ms) and a round trip (1 to 3 ms).
+TIMING = Timing(
+    heartbeat_ms=250,
+    election_min_ms=900,
+    election_max_ms=1_500,
+    startup_min_ms=80,
+    startup_max_ms=320,
+)
 TICK_S = 0.05
 
 
--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -46,6 +46,7 @@
     current_at_ms: int = 0
     activity: anyio.Event = field(default_factory=anyio.Event)
     bad_news: anyio.Event = field(default_factory=anyio.Event)
+    _routed: anyio.Event = field(default_factory=anyio.Event)
     _suspicions: Suspicions = field(default_factory=Suspicions)
 
     def __post_init__(self):
@@ -56,6 +57,13 @@
         """Whether callers can be served."""
         return self.routes is not None and not self.board.is_leaving
 
+    async def wait_for_routes(self, until_ms: int) -> None:
+        """Return once there is a route sheet, or at `until_ms` without one."""
+        if self.routes is not None:
+            return
+        with anyio.move_on_after(max(until_ms - monotonic_ms(), 0) / 1000):
+            await self._routed.wait()
+
     def age_ms(self, now_ms: int) -> int:
         """How old the catalog may be."""
         return now_ms - self.current_at_ms
@@ -87,6 +95,7 @@
             return True
         if update.sheet or self.routes is None:
             self.routes = RouteIndex(sheet)
+            self._routed.set()
         self._refresh(now_ms)
         return True
 
--- a/src/cinderway/entry/_catalog_follower.py
+++ b/src/cinderway/entry/_catalog_follower.py
@@ -31,7 +31,11 @@
 )
 from cinderway.entry._blackboard import ServiceState
 from cinderway.entry._catalog_board import CatalogBoard
-from cinderway.entry._replica_choice import ReplicaChoice
+from cinderway.entry._replica_choice import (
+    AVOID_MS,
+    LEADERLESS_AVOID_MS,
+    ReplicaChoice,
+)
 from cinderway.judgement import evidence_from
 from cinderway.wire import Connection, Identity, connect
 
@@ -145,7 +149,7 @@
                 return True
             await self._follow(connection, address)
         except (CinderwayError, TimeoutError) as error:
-            self._choice.avoid(address, monotonic_ms())
+            self._choice.avoid(address, monotonic_ms(), _avoid_ms(error))
             # Its verdicts end with it; another replica judges anew within seconds.
             self.state.apply(NO_VERDICTS)
             logger.warning(
@@ -226,7 +230,10 @@
         )
 
     def _hear(self, address: Address, age_ms: int, now_ms: int) -> None:
-        if age_ms > LEADER_AGE_LIMIT_MS:
+        is_stale = age_ms > LEADER_AGE_LIMIT_MS
+        # Where all replicas are without a leader, one that is followed is the first to
+        # tell of the next; going round them would only keep them busy.
+        if is_stale and self._choice.has_other(address, now_ms):
             raise CinderwayError(
                 ErrorCode.NO_QUORUM,
                 f"the replica last heard from a leader {age_ms} ms ago",
@@ -274,3 +281,10 @@
         except (CinderwayError, TimeoutError) as error:
             logger.info("observations of %d servers lost: %s", len(found), error)
             await connection.aclose()
+
+
+def _avoid_ms(error: Exception) -> int:
+    is_leaderless = (
+        isinstance(error, CinderwayError) and error.code is ErrorCode.NO_QUORUM
+    )
+    return LEADERLESS_AVOID_MS if is_leaderless else AVOID_MS
--- a/src/cinderway/entry/_replica_choice.py
+++ b/src/cinderway/entry/_replica_choice.py
@@ -8,6 +8,8 @@
 
 # How long a replica that failed comes last in the order.
 AVOID_MS = 5_000
+# One without a leader may have one again after an election, 1.5 s at most.
+LEADERLESS_AVOID_MS = 2_000
 
 
 @dataclass
@@ -41,9 +43,16 @@
 
         return sorted(addresses, key=rank)
 
-    def avoid(self, address: Address, now_ms: int) -> None:
+    def avoid(self, address: Address, now_ms: int, for_ms: int = AVOID_MS) -> None:
         """Put a replica last for a while: it failed."""
-        self._avoid_until_ms[address] = now_ms + AVOID_MS
+        self._avoid_until_ms[address] = now_ms + for_ms
+
+    def has_other(self, address: Address, now_ms: int) -> bool:
+        """Whether a replica besides this one is known that did not just fail."""
+        return any(
+            other != address and not self._is_avoided(other, now_ms)
+            for other in self.candidates(now_ms)
+        )
 
     def hall_of(self, address: Address) -> str:
         """Return a replica's data hall, or "" while it is not known."""
--- a/src/cinderway/entry/_route_handler.py
+++ b/src/cinderway/entry/_route_handler.py
@@ -41,6 +41,10 @@
 DEFAULT_SERVER_LIMIT = 2
 # Several times the way to a caller; small beside any deadline of a second or more.
 ANSWER_MARGIN_MS = 60
+# A fleet that starts anew has a leader and its catalog back in about half a second; a
+# caller who would give up sooner is told to come back while it still can.
+SHEET_WAIT_MS = 700
+SHEET_WAIT_SHARE = 0.25
 
 
 @dataclass
@@ -90,6 +94,7 @@
     async def _serve(
         self, scope: dict, receive: Receive, reply: Reply, served: "_Served"
     ) -> None:
+        await self._wait_for_sheet(scope, served.started_at_ms)
         served.route = route = self._route_of(scope)
         deadline_ms = self._deadline_of(scope, route, served.started_at_ms)
         body = await self._body_by(deadline_ms, receive)
@@ -108,6 +113,15 @@
         )
         await self._attempt(route, served.service, request, receive, reply)
 
+    async def _wait_for_sheet(self, scope: dict, now_ms: int) -> None:
+        if self.state.routes is not None:
+            return
+        text = find_header(scope["headers"], self.names.deadline) or b""
+        wait_ms = SHEET_WAIT_MS
+        if text.isdigit():
+            wait_ms = min(wait_ms, round(int(text) * SHEET_WAIT_SHARE))
+        await self.state.wait_for_routes(now_ms + wait_ms)
+
     async def _body_by(self, deadline_ms: int, receive: Receive) -> bytes:
         limit_bytes = self.state.mirror.sheet.limits.body_limit_bytes
         with anyio.move_on_after((deadline_ms - monotonic_ms()) / 1000) as reading:
--- a/src/cinderway/replication/_core.py
+++ b/src/cinderway/replication/_core.py
@@ -64,6 +64,10 @@
     heartbeat_ms: int = 60
     election_min_ms: int = 400
     election_max_ms: int = 800
+    # Until a replica has heard a leader since its start: a group that was killed whole
+    # has none to wait for. A pre-vote disturbs nobody who does hear one.
+    startup_min_ms: int = 400
+    startup_max_ms: int = 800
     # A voter that is silent for this long makes room once another took its place.
     replace_silent_ms: int = 5_000
 
@@ -739,9 +743,11 @@
         self._output.hard_state = hard_state
 
     def _reset_election_deadline(self) -> None:
-        timeout_ms = self._rng.randint(
-            self.timing.election_min_ms, self.timing.election_max_ms
-        )
+        timing = self.timing
+        shortest_ms, longest_ms = timing.election_min_ms, timing.election_max_ms
+        if self.leader_heard_at_ms is None and not self.is_leader:
+            shortest_ms, longest_ms = timing.startup_min_ms, timing.startup_max_ms
+        timeout_ms = self._rng.randint(shortest_ms, longest_ms)
         self._election_deadline_ms = self._now_ms + timeout_ms
 
     def _send(self, message: ReplicaMessage) -> None:
--- a/tests/entry/test_replica_choice.py
+++ b/tests/entry/test_replica_choice.py
@@ -2,7 +2,11 @@
 
 from cinderway._ids import Address, DataHall, EntryName
 from cinderway.catalog import ReplicaAddress
-from cinderway.entry._replica_choice import AVOID_MS, ReplicaChoice
+from cinderway.entry._replica_choice import (
+    AVOID_MS,
+    LEADERLESS_AVOID_MS,
+    ReplicaChoice,
+)
 
 SUVA, NADI = DataHall("suva"), DataHall("nadi")
 HOME = [Address(f"10.0.0.{n}:7100") for n in (1, 2)]
@@ -51,6 +55,14 @@
         self.assertFalse(chooser.has_better(AWAY[0], AVOID_MS - 1))
         self.assertTrue(chooser.has_better(AWAY[0], AVOID_MS))
 
+    def test_there_is_another_to_try_until_all_have_failed(self):
+        chooser = choice()
+        for address in HOME[1:] + AWAY:
+            self.assertTrue(chooser.has_other(HOME[0], 0))
+            chooser.avoid(address, 0, LEADERLESS_AVOID_MS)
+        self.assertFalse(chooser.has_other(HOME[0], LEADERLESS_AVOID_MS - 1))
+        self.assertTrue(chooser.has_other(HOME[0], LEADERLESS_AVOID_MS))
+
     def test_the_hall_of_an_unknown_replica_is_not_known(self):
         self.assertEqual(choice(replicas=[]).hall_of(HOME[0]), "")
         self.assertFalse(choice(replicas=[]).is_home(HOME[0]))
--- a/tests/replication/test_core.py
+++ b/tests/replication/test_core.py
@@ -17,6 +17,7 @@
 from cinderway.replication._core import Replica, Timing
 from cinderway.replication._log import Log
 from cinderway.replication._messages import (
+    AppendRequest,
     EntryKind,
     HardState,
     JoinRequest,
@@ -374,6 +375,52 @@
         )
 
 
+class StartTest(unittest.TestCase):
+    """A replica that has not heard of a leader since its start."""
+
+    TIMING = Timing(startup_min_ms=100, startup_max_ms=300)
+
+    def setUp(self):
+        members = {i: Member(f"a{i}", is_voter=True) for i in (1, 2, 3)}
+        founding = Snapshot(5, 2, Membership(7, members).encode(), b"")
+        self.replica = Replica(
+            1, "a1", Log(founding), HardState(2), self.TIMING, random.Random(1), 0
+        )
+
+    def asks_within(self, ms, since_ms=0):
+        for now_ms in range(since_ms, since_ms + ms, 10):
+            self.replica.tick(now_ms)
+            sent = [o.message for o in self.replica.take_output().outgoing]
+            if any(isinstance(message, VoteRequest) for message in sent):
+                return True
+        return False
+
+    def hear_leader(self, now_ms):
+        request = AppendRequest(
+            sender=2,
+            target=1,
+            term=2,
+            previous_index=5,
+            previous_term=2,
+            commit_index=5,
+            round=1,
+            entries=[],
+            sender_address="a2",
+        )
+        self.replica.step(request, now_ms)
+
+    def test_it_asks_for_votes_long_before_an_election_timeout(self):
+        self.assertTrue(self.asks_within(310))
+
+    def test_it_asks_again_soon_while_nobody_answers(self):
+        self.assertTrue(self.asks_within(310))
+        self.assertTrue(self.asks_within(310, since_ms=310))
+
+    def test_once_it_has_heard_a_leader_it_waits_a_whole_timeout(self):
+        self.hear_leader(50)
+        self.assertFalse(self.asks_within(self.TIMING.election_min_ms))
+
+
 class VoteTest(unittest.TestCase):
     """One replica that is asked for its vote."""
 
