platform: daemons start without the command line's libraries

Ruled out: slow settings or sockets; the log's first line comes right after the imports. Change: `cinderway._launch` starts a role from environment and settings file; the command line uses the same function.

--- a/src/cinderway/_cli/_main.py
+++ b/src/cinderway/_cli/_main.py
@@ -10,8 +10,8 @@
 from cinderway._cli._options import exit_on_error, with_settings
 from cinderway._cli._report import report
 from cinderway._cli._table import table
-from cinderway._errors import CinderwayError
 from cinderway._ids import Address
+from cinderway._launch import run_daemon
 from cinderway._settings import (
     CatalogControlSettings,
     CatalogEntrySettings,
@@ -39,7 +39,7 @@
     """Run an entry: it serves callers."""
     from cinderway.entry import run_entry
 
-    _run(run_entry, settings)
+    run_daemon(run_entry, settings)
 
 
 @app.command()
@@ -48,7 +48,7 @@
     """Run a control replica: it keeps the table."""
     from cinderway.control import run_control
 
-    _run(run_control, settings)
+    run_daemon(run_control, settings)
 
 
 @app.command()
@@ -57,7 +57,7 @@
     """Run an entry that serves callers by the service catalog."""
     from cinderway.entry import run_catalog_entry
 
-    _run(run_catalog_entry, settings)
+    run_daemon(run_catalog_entry, settings)
 
 
 @app.command()
@@ -66,7 +66,7 @@
     """Run a control replica that keeps the service catalog."""
     from cinderway.control import run_catalog_control
 
-    _run(run_catalog_control, settings)
+    run_daemon(run_catalog_control, settings)
 
 
 @app.command()
@@ -75,7 +75,7 @@
     """Run a ledger replica: it keeps the outcomes of run-once requests."""
     from cinderway.ledger import run_ledger
 
-    _run(run_ledger, settings)
+    run_daemon(run_ledger, settings)
 
 
 @app.command()
@@ -112,24 +112,6 @@
     print(__version__)
 
 
-def _run(daemon, settings) -> None:
-    import anyio
-
-    try:
-        anyio.run(daemon, settings, backend_options={"use_uvloop": True})
-    except* CinderwayError as group:
-        failure = group
-    else:
-        return
-    raise _first_of(failure)
-
-
-def _first_of(group: BaseExceptionGroup) -> BaseException:
-    """Return the first error in nested groups, as task groups make them."""
-    error = group.exceptions[0]
-    return _first_of(error) if isinstance(error, BaseExceptionGroup) else error
-
-
 def main() -> None:
     """Run the command line."""
     app()
--- a/src/cinderway/_cli/_options.py
+++ b/src/cinderway/_cli/_options.py
@@ -8,7 +8,8 @@
 
 import typer
 
-from cinderway._errors import CinderwayError, ErrorCode
+from cinderway._errors import CinderwayError
+from cinderway._launch import exit_code_of
 from cinderway._settings import (
     REQUIRED,
     environment_variable_of,
@@ -18,14 +19,6 @@
     with_settings_file,
 )
 
-EXIT_FAILED = 1
-EXIT_BAD_INPUT = 2
-BAD_INPUT_CODES = {
-    ErrorCode.SETTING_INVALID,
-    ErrorCode.CSV_INVALID,
-    ErrorCode.CELL_INVALID,
-}
-
 
 def with_settings(kind: type) -> Callable[[Callable], Callable]:
     """Turn `f(settings, …)` into a command that takes the settings as flags too.
@@ -61,8 +54,7 @@
         if not isinstance(error, CinderwayError):
             return
         print(f"cinderway: {error}", file=sys.stderr)
-        bad_input = error.code in BAD_INPUT_CODES
-        raise typer.Exit(EXIT_BAD_INPUT if bad_input else EXIT_FAILED)
+        raise typer.Exit(exit_code_of(error))
 
 
 def _parameters_of(kind: type) -> list[inspect.Parameter]:
--- a/src/cinderway/_cli/_table.py
+++ b/src/cinderway/_cli/_table.py
@@ -10,9 +10,10 @@
 import typer
 
 from cinderway._cli._operator import OPERATOR_NAME, ask_control
-from cinderway._cli._options import EXIT_FAILED, with_settings
+from cinderway._cli._options import with_settings
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import EditId
+from cinderway._launch import EXIT_FAILED
 from cinderway._settings import OperatorSettings
 from cinderway.table import (
     COLUMNS,
--- a/src/cinderway/entry/_dispatch.py
+++ b/src/cinderway/entry/_dispatch.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from functools import partial
 
 import anyio
 
@@ -17,9 +18,22 @@
     BackendRequest,
 )
 from cinderway.entry._blackboard import Blackboard, ServerState, ServiceState
-from cinderway.judgement import DRAIN_VALID_MS, PIECE_BYTES, Attempt, Bad, EvidenceLog
+from cinderway.judgement import (
+    DRAIN_VALID_MS,
+    PIECE_BYTES,
+    Attempt,
+    Bad,
+    EvidenceLog,
+    suspicion_left,
+)
 from cinderway.limits import plan_connections
-from cinderway.routing import Candidate, choose, own_subset
+from cinderway.routing import (
+    ONCE_SUSPECT_PENALTY,
+    SUSPECT_PENALTY,
+    Candidate,
+    choose,
+    own_subset,
+)
 
 # After a shed the server gets nothing from this entry for about the time that one
 # of its slots stays taken.
@@ -78,7 +92,7 @@
         server got nothing; BACKEND_SHED is the server's own word that it did not
         run the request.
         """
-        server = await self._take_slot(service, deadline_ms, exclude)
+        server = await self._take_slot(service, deadline_ms, exclude, is_repeatable)
         exclude.add(server.row.name)
         attempt = self.evidence.begin(service.row.name, server.row.name, monotonic_ms())
         try:
@@ -214,14 +228,18 @@
         return min(max(pause_ms, SHED_PAUSE_MINIMUM_MS), SHED_PAUSE_MAXIMUM_MS)
 
     async def _take_slot(
-        self, service: ServiceState, deadline_ms: int, exclude: set[ServerName]
+        self,
+        service: ServiceState,
+        deadline_ms: int,
+        exclude: set[ServerName],
+        is_repeatable: bool,
     ) -> ServerState:
         admission = service.admission
         admission.waiting += 1
         try:
             while True:
                 now_ms = monotonic_ms()
-                server = self._free_server(service, exclude, now_ms)
+                server = self._free_server(service, exclude, now_ms, is_repeatable)
                 if server is not None:
                     server.in_flight += 1
                     return server
@@ -235,18 +253,29 @@
             admission.waiting -= 1
 
     def _free_server(
-        self, service: ServiceState, exclude: set[ServerName], now_ms: int
+        self,
+        service: ServiceState,
+        exclude: set[ServerName],
+        now_ms: int,
+        is_repeatable: bool,
     ) -> ServerState | None:
         candidates = [
             self._candidate(server, now_ms)
             for server, limit in self._subset(usable_servers(service))
             if server.in_flight < limit and server.pause_until_ms <= now_ms
         ]
-        hall, rng, penalty = self.board.data_hall, self.board.rng, service.hall_penalty
-        chosen = choose(candidates, hall, rng, exclude, penalty)
+        pick = partial(
+            choose,
+            candidates,
+            self.board.data_hall,
+            self.board.rng,
+            hall_penalty=service.hall_penalty,
+            suspect_penalty=SUSPECT_PENALTY if is_repeatable else ONCE_SUSPECT_PENALTY,
+        )
+        chosen = pick(exclude=exclude)
         if chosen is None and exclude:
             # Every other server was tried already: a second try beats none.
-            chosen = choose(candidates, hall, rng, (), penalty)
+            chosen = pick()
         return service.servers[chosen.name] if chosen else None
 
     def _subset(self, usable: list[ServerState]) -> list[tuple[ServerState, int]]:
@@ -277,7 +306,7 @@
             slots=server.row.slots,
             in_flight=server.in_flight,
             reported_load=server.reported_load if is_fresh else 0.0,
-            is_suspect=now_ms < server.suspect_until_ms,
+            suspicion=suspicion_left(server.suspect_until_ms, now_ms),
             share=server.share * (COLD_SHARE if now_ms < server.warm_until_ms else 1),
         )
 
--- a/src/cinderway/judgement/__init__.py
+++ b/src/cinderway/judgement/__init__.py
@@ -28,7 +28,7 @@
 from cinderway.judgement._judge import DRAIN_VALID_MS, ServiceJudge
 from cinderway.judgement._merge import Agreed, HeldSheet, merge_sheets, service_norms
 from cinderway.judgement._record import ServerRecord, is_out
-from cinderway.judgement._suspicion import Suspicions
+from cinderway.judgement._suspicion import Suspicions, suspicion_left
 
 __all__ = [
     "DRAIN_VALID_MS",
@@ -60,7 +60,8 @@
     "group_of",
     "is_out",
     "merge_sheets",
-    "service_norms",
     "permitted_ejections",
+    "service_norms",
+    "suspicion_left",
     "verdict_quorum",
 ]
--- a/src/cinderway/judgement/_suspicion.py
+++ b/src/cinderway/judgement/_suspicion.py
@@ -1,49 +1,51 @@
 """Avoid for a moment a server that has just failed a request. Pure.
 
 Backend servers fail in bursts of a few seconds, often over before enough has been seen
-to judge them. Busy ones fail single requests about as often. So after a failure a
-server gets requests only where nothing better is free, first for a short while; if it
-fails again right after, for about a burst's length. This is no ejection: it needs no
-proof and takes no capacity away.
+to judge them. Busy ones fail single requests about as often. So a failure makes a
+server suspect at once, and the suspicion fades over a burst's length: at first the
+server gets requests only where nothing better is free, then wherever the others are
+much fuller, at last nearly as before. This is no ejection: it needs no proof and takes
+no capacity away.
 """
 
 from dataclasses import dataclass, field
 
 from cinderway._ids import ServerName
 
-# Several requests of a busy service: at its peak, one failure in two is by chance.
-FIRST_MS = 400
-# The bursts that the users' servers show last three to four seconds.
-CONTINUED_MS = 2_800
-# A failure within this time after a suspicion ended continues it.
-CONTINUES_MS = 1_500
+# The bursts that the users' servers show last about three seconds.
+FADES_MS = 2_800
+# Requests that were under way when a server became suspect end within about this time.
+UNDER_WAY_MS = 400
+
+
+def suspicion_left(until_ms: int, now_ms: int) -> float:
+    """Return how suspect a server still is, from 1 just after a failure down to 0."""
+    return min(max(until_ms - now_ms, 0) / FADES_MS, 1.0)
 
 
 @dataclass
 class Suspicions:
-    """The servers that failed a moment ago, and until when each is avoided."""
+    """The servers that failed a moment ago, and when each suspicion ends."""
 
     _until_ms: dict[ServerName, int] = field(default_factory=dict)
 
     def note_failure(self, server: ServerName, now_ms: int) -> int | None:
-        """Note a failed request; return until when to avoid the server if that is new.
+        """Note a failed request; return when the suspicion ends if that is new.
 
-        Failures while it is suspect already do not prolong it: they are mostly
-        requests that were under way.
+        Failures right after another one do not renew it: they are mostly requests
+        that were under way.
         """
         known_ms = self._until_ms.get(server)
-        if known_ms is not None and now_ms < known_ms:
+        until_ms = now_ms + FADES_MS
+        if known_ms is not None and until_ms < known_ms + UNDER_WAY_MS:
             return None
-        length_ms = FIRST_MS
-        if known_ms is not None and now_ms < known_ms + CONTINUES_MS:
-            length_ms = CONTINUED_MS
-        self._until_ms[server] = now_ms + length_ms
-        return now_ms + length_ms
+        self._until_ms[server] = until_ms
+        return until_ms
 
     def forget_old(self, now_ms: int) -> None:
         """Drop what no longer says anything."""
         self._until_ms = {
             server: until_ms
             for server, until_ms in self._until_ms.items()
-            if now_ms < until_ms + CONTINUES_MS
+            if now_ms < until_ms
         }
--- a/src/cinderway/routing/_choose.py
+++ b/src/cinderway/routing/_choose.py
@@ -12,9 +12,12 @@
 # the way there costs more than a small difference in load.
 OTHER_HALL_PENALTY = 0.25
 FULL_WEIGHT = 100
-# One that has just failed a request comes after another hall's, but for downloads,
-# whose bytes cost more on the way than a second try.
+# Shares of a server's slots by which one that has just failed a request must look
+# emptier: it comes after another hall's, but for downloads, whose bytes cost more on
+# the way than a second try.
 SUSPECT_PENALTY = 1.5
+# For a request that cannot be sent again a failure is final; waiting for a slot is not.
+ONCE_SUSPECT_PENALTY = 2.0
 
 
 @dataclass(frozen=True)
@@ -23,8 +26,8 @@
 
     `in_flight` counts this entry's own requests; `reported_load` is the share of
     slots in use by the server's last report, 0 if unknown. `share` scales the
-    weight down during slow start or on probation, over 0 up to 1. `is_suspect` says
-    that it failed a request a moment ago.
+    weight down during slow start or on probation, over 0 up to 1. `suspicion` is 1
+    just after it failed a request and fades to 0.
     """
 
     name: ServerName
@@ -34,7 +37,7 @@
     in_flight: int
     reported_load: float
     share: float = 1.0
-    is_suspect: bool = False
+    suspicion: float = 0.0
 
 
 def choose(
@@ -43,28 +46,31 @@
     rng: random.Random,
     exclude: Collection[ServerName] = (),
     hall_penalty: float = OTHER_HALL_PENALTY,
+    suspect_penalty: float = SUSPECT_PENALTY,
 ) -> Candidate | None:
     """Return the candidate with the least load for its weight, or None.
 
     Ties, which are common with 3 or 4 slots, are broken at random so that entries
     that see the same loads do not all choose the same server. `hall_penalty` is the
-    share of a server's slots by which one elsewhere must look emptier.
+    share of a server's slots by which one elsewhere must look emptier, and
+    `suspect_penalty` that for one under full suspicion.
     """
     best, best_score = None, 0.0
     for candidate in candidates:
         if candidate.name in exclude:
             continue
-        score = _score(candidate, own_hall, hall_penalty) + rng.random() * 0.01
+        penalty = suspect_penalty * candidate.suspicion
+        if candidate.data_hall != own_hall:
+            penalty += hall_penalty
+        score = _score(candidate, penalty) + rng.random() * 0.01
         if best is None or score < best_score:
             best, best_score = candidate, score
     return best
 
 
-def _score(candidate: Candidate, own_hall: DataHall, hall_penalty: float) -> float:
+def _score(candidate: Candidate, penalty: float) -> float:
     own_load = (candidate.in_flight + 1) / candidate.slots
     load = max(own_load, candidate.reported_load + 1 / candidate.slots)
-    penalty = 0.0 if candidate.data_hall == own_hall else hall_penalty
-    penalty += SUSPECT_PENALTY if candidate.is_suspect else 0.0
     effective_weight = candidate.weight / FULL_WEIGHT * candidate.share
     return (load + penalty) / max(effective_weight, 0.001)
 
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -3,7 +3,13 @@
 
 from hypothesis import given, strategies as st
 
-from cinderway.routing import Candidate, RouteTable, choose, own_subset
+from cinderway.routing import (
+    ONCE_SUSPECT_PENALTY,
+    Candidate,
+    RouteTable,
+    choose,
+    own_subset,
+)
 from cinderway.table import ServiceRow
 
 
@@ -13,8 +19,10 @@
     )
 
 
-def candidate(name, hall="suva", in_flight=0, weight=100, share=1.0, load=0.0):
-    return Candidate(name, hall, weight, 4, in_flight, load, share)
+def candidate(
+    name, hall="suva", in_flight=0, weight=100, share=1.0, load=0.0, suspicion=0.0
+):
+    return Candidate(name, hall, weight, 4, in_flight, load, share, suspicion)
 
 
 class RouteTest(unittest.TestCase):
@@ -60,6 +68,23 @@
     def test_server_on_trial_gets_less(self):
         self.assertEqual(self.choose(candidate("a", share=0.1), candidate("b")), "b")
 
+    def test_a_suspect_gets_work_only_where_the_others_are_much_fuller(self):
+        suspect = candidate("a", suspicion=1.0)
+        self.assertEqual(self.choose(suspect, candidate("b", load=1.0)), "b")
+        self.assertEqual(self.choose(suspect, candidate("b", load=2.0)), "a")
+
+    def test_a_suspicion_that_fades_counts_for_less(self):
+        full = candidate("b", load=1.0)
+        self.assertEqual(self.choose(candidate("a", suspicion=0.9), full), "b")
+        self.assertEqual(self.choose(candidate("a", suspicion=0.1), full), "a")
+
+    def test_a_request_that_cannot_be_sent_again_waits_longer_for_another(self):
+        servers = (candidate("a", suspicion=1.0), candidate("b", load=1.75))
+        rng = random.Random(1)
+        self.assertEqual(choose(servers, "suva", rng).name, "a")
+        chosen = choose(servers, "suva", rng, suspect_penalty=ONCE_SUSPECT_PENALTY)
+        self.assertEqual(chosen.name, "b")
+
     def test_excluded_server_is_not_chosen(self):
         self.assertIsNone(self.choose(candidate("a"), exclude={"a"}))
 
--- /dev/null
+++ b/tests/test_launch.py
@@ -0,0 +1,50 @@
+"""Starting a daemon from its environment, as its own process."""
+
+import os
+import subprocess
+import sys
+import unittest
+from pathlib import Path
+
+SOURCES = Path(__file__).resolve().parent.parent / "src"
+
+
+def launch(*arguments, **environment):
+    own = {"PYTHONPATH": str(SOURCES), "PATH": os.environ["PATH"], **environment}
+    return subprocess.run(
+        [sys.executable, "-m", "cinderway._launch", *arguments],
+        env=own,
+        capture_output=True,
+        text=True,
+    )
+
+
+class LaunchTests(unittest.TestCase):
+    def test_an_unknown_role_is_bad_input_and_the_error_names_all_roles(self):
+        for arguments in ((), ("gateway",)):
+            ended = launch(*arguments)
+            self.assertEqual(ended.returncode, 2)
+            self.assertIn("catalog-entry", ended.stderr)
+
+    def test_a_missing_setting_is_bad_input_and_named(self):
+        ended = launch("catalog-entry", CINDERWAY_NAME="e1")
+        self.assertEqual(ended.returncode, 2)
+        self.assertIn("CINDERWAY_DATA_HALL", ended.stderr)
+
+    def test_a_settings_file_that_cannot_be_read_is_bad_input(self):
+        ended = launch("catalog-control", CINDERWAY_SETTINGS_FILE="/nowhere.toml")
+        self.assertEqual(ended.returncode, 2)
+        self.assertIn("/nowhere.toml", ended.stderr)
+
+    def test_a_daemon_needs_no_library_of_the_command_line(self):
+        code = (
+            "import sys, cinderway._launch, cinderway.entry._catalog_daemon; "
+            "print([m for m in ('typer', 'click', 'rich') if m in sys.modules])"
+        )
+        ended = subprocess.run(
+            [sys.executable, "-c", code],
+            env={"PYTHONPATH": str(SOURCES), "PATH": os.environ["PATH"]},
+            capture_output=True,
+            text=True,
+        )
+        self.assertEqual(ended.stdout.strip(), "[]", ended.stderr)
