--- a/tests/test_launch.py
+++ b/tests/test_launch.py
@@ -39,7 +39,7 @@
     def test_a_daemon_does_not_import_the_command_line(self):
         code = (
             "import sys, cinderway._launch, cinderway.entry._catalog_daemon; "
-            "print([m for m in ('typer', 'rich', 'cinderway._cli') if m in sys.modules])"
+            "print({'typer', 'rich', 'cinderway._cli'} & set(sys.modules))"
         )
         ended = subprocess.run(
             [sys.executable, "-c", code],
@@ -47,4 +47,4 @@
             capture_output=True,
             text=True,
         )
-        self.assertEqual(ended.stdout.strip(), "[]", ended.stderr)
+        self.assertEqual(ended.stdout.strip(), "set()", ended.stderr)
