entry: route again once a request's body is there

Change: the route is matched again after the body, before the service is picked; no await lies between picking and the look-up. Metrics register in their own registry, not also in the library's global one: two of them in one process collided. Before: tests.entry.test_route_handler, the test on a service that leaves: KeyError. After: passes, with two tests of the wait for a first sheet.

--- a/src/cinderway/_operators.py
+++ b/src/cinderway/_operators.py
@@ -33,28 +33,33 @@
         """Add to a counter."""
         counter = self._counters.get(name)
         if counter is None:
-            counter = Counter(METRIC_PREFIX + name, name.replace("_", " "))
+            counter = Counter(
+                METRIC_PREFIX + name, name.replace("_", " "), registry=self.registry
+            )
             self._counters[name] = counter
-            self.registry.register(counter)
         counter.add(labels, amount)
 
     def observe(self, name: str, value: float, labels: dict[str, str]) -> None:
         """Note a value in a histogram."""
         histogram = self._histograms.get(name)
         if histogram is None:
-            help_text = name.replace("_", " ")
-            histogram = Histogram(METRIC_PREFIX + name, help_text, buckets=BUCKETS_S)
+            histogram = Histogram(
+                METRIC_PREFIX + name,
+                name.replace("_", " "),
+                registry=self.registry,
+                buckets=BUCKETS_S,
+            )
             self._histograms[name] = histogram
-            self.registry.register(histogram)
         histogram.add(labels, value)
 
     def set_gauge(self, name: str, value: float, labels: dict[str, str]) -> None:
         """Set a gauge."""
         gauge = self._gauges.get(name)
         if gauge is None:
-            gauge = Gauge(METRIC_PREFIX + name, name.replace("_", " "))
+            gauge = Gauge(
+                METRIC_PREFIX + name, name.replace("_", " "), registry=self.registry
+            )
             self._gauges[name] = gauge
-            self.registry.register(gauge)
         gauge.set(labels, value)
 
 
--- a/src/cinderway/entry/_route_handler.py
+++ b/src/cinderway/entry/_route_handler.py
@@ -98,6 +98,8 @@
         served.route = route = self._route_of(scope)
         deadline_ms = self._deadline_of(scope, route, served.started_at_ms)
         body = await self._body_by(deadline_ms, receive)
+        # Another sheet may have come in the meantime: its services are the ones known.
+        served.route = route = self._route_of(scope)
         served.service = pick_service(route, self.state.board.rng)
         attempt_id = served.attempt_id
         served.request = request = CallerRequest(
--- /dev/null
+++ b/tests/entry/test_route_handler.py
@@ -0,0 +1,114 @@
+"""Callers' requests by the route sheet, with a stand-in for what reaches servers."""
+
+import json
+import random
+import unittest
+
+import anyio
+
+from cinderway._ids import DataHall, EntryName
+from cinderway._operators import Metrics
+from cinderway.catalog import CatalogMachine, InstallSheet, encode_command
+from cinderway.entry._backends import HeaderNames
+from cinderway.entry._blackboard import Blackboard
+from cinderway.entry._catalog_board import CatalogBoard
+from cinderway.entry._relay import WholeAnswer
+from cinderway.entry._route_handler import RouteHandler
+from cinderway.judgement import EvidenceLog
+
+
+def sheet(version, service="lookup"):
+    route = {
+        "name": "r",
+        "host": "a.example",
+        "path_prefix": "/p/",
+        "timeout_ms": 1000,
+        "service": service,
+    }
+    content = {"version": version, "routes": [route], "services": [{"name": service}]}
+    return json.dumps(content).encode()
+
+
+class AnsweringAttempts:
+    """Answers each request at once, and notes the service that it went to."""
+
+    def __init__(self):
+        self.services = []
+
+    async def whole_answer(self, service, request, is_repeatable):
+        self.services.append(service.row.name)
+        return WholeAnswer(200, [], b"done")
+
+
+class Caller:
+    """One caller's request, its body in two parts, and what came back for it."""
+
+    def __init__(self, deadline_ms, between_parts=None):
+        self.statuses = []
+        self._parts = [b"first ", b"second"]
+        self._between_parts = between_parts
+        self.scope = {
+            "type": "http",
+            "method": "POST",
+            "path": "/p/x",
+            "raw_path": b"/p/x",
+            "query_string": b"",
+            "headers": [
+                (b"host", b"a.example"),
+                (b"cinderway-deadline-ms", str(deadline_ms).encode()),
+            ],
+        }
+
+    async def receive(self):
+        if not self._parts:
+            await anyio.sleep_forever()
+        body = self._parts.pop(0)
+        if not self._parts and self._between_parts is not None:
+            self._between_parts()
+        return {"type": "http.request", "body": body, "more_body": bool(self._parts)}
+
+    async def send(self, message):
+        if message["type"] == "http.response.start":
+            self.statuses.append(message["status"])
+
+
+class RouteHandlerTests(unittest.TestCase):
+    def setUp(self):
+        self.machine = CatalogMachine()
+        board = Blackboard(EntryName("e1"), DataHall("suva"), random.Random(1))
+        self.state = CatalogBoard(board, EvidenceLog(), lone_retry_percent=5)
+        self.attempts = AnsweringAttempts()
+        self.handler = RouteHandler(self.state, self.attempts, HeaderNames(), Metrics())
+
+    def install(self, version, service="lookup"):
+        known = self.machine.revision
+        self.machine.apply(
+            known + 1, encode_command(InstallSheet(sheet(version, service)))
+        )
+        self.state.install(self.machine.update_since(known), now_ms=0)
+
+    async def serve(self, caller):
+        await self.handler(caller.scope, caller.receive, caller.send)
+        return caller.statuses
+
+    def test_a_request_that_comes_before_the_sheet_waits_for_it(self):
+        async def scenario():
+            caller = Caller(deadline_ms=60_000)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.serve, caller)
+                await anyio.wait_all_tasks_blocked()
+                self.assertEqual(caller.statuses, [])
+                self.install(1)
+            return caller.statuses
+
+        self.assertEqual(anyio.run(scenario), [200])
+
+    def test_without_a_sheet_a_caller_is_told_to_come_back_while_it_still_can(self):
+        self.assertEqual(anyio.run(self.serve, Caller(deadline_ms=40)), [503])
+        self.assertEqual(self.attempts.services, [])
+
+    def test_a_service_that_leaves_while_the_body_comes_is_not_used(self):
+        self.install(1, "lookup")
+        caller = Caller(60_000, between_parts=lambda: self.install(2, "archive"))
+        self.assertEqual(anyio.run(self.serve, caller), [200])
+        self.assertEqual(self.attempts.services, ["archive"])
