entry: weigh the way to another hall by the request's kind

Cause: a service that a download route may also go to counted as one of downloads for all its requests: look-ups and submissions then waited in their own hall behind twice a server's slots. Which answers are large is the route's word, not the service's. Change: `Penalties` travel with the request; `ServiceState.hall_penalty` is gone. For requests that run once a suspect counts more (2.0 of its slots in place of 1.5).

--- a/src/cinderway/entry/_attempts.py
+++ b/src/cinderway/entry/_attempts.py
@@ -103,6 +103,7 @@
             request.deadline_ms,
             exclude=request.tried,
             is_repeatable=is_repeatable,
+            penalties=request.penalties,
         ) as exchange:
             answer = await read_whole(
                 self.dispatcher,
--- a/src/cinderway/entry/_blackboard.py
+++ b/src/cinderway/entry/_blackboard.py
@@ -15,7 +15,7 @@
 from cinderway._ids import DataHall, EntryName, ServerName, ServiceName
 from cinderway.limits import Admission, RetryBudget
 from cinderway.membership import Fleet
-from cinderway.routing import OTHER_HALL_PENALTY, RouteTable
+from cinderway.routing import RouteTable
 from cinderway.table import ServerRow, ServiceRow, Table
 
 
@@ -67,7 +67,6 @@
     admission: Admission = field(default_factory=Admission)
     slot_freed: anyio.Event = field(default_factory=anyio.Event)
     background_probes_per_s: float = 0.0
-    hall_penalty: float = OTHER_HALL_PENALTY
 
     def free_slot(self) -> None:
         """Wake the requests that wait for a slot."""
--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -15,7 +15,6 @@
     CatalogUpdate,
     RegisteredServer,
     RouteIndex,
-    RouteKind,
     ServerStatus as Status,
     VerdictBatch,
 )
@@ -24,10 +23,6 @@
 from cinderway.limits import RetryBudget
 from cinderway.table import ServerRow, ServerState, ServiceRow
 
-# Shares of a server's slots by which one in another hall must look emptier.
-SMALL_ANSWER_PENALTY = 0.7
-# A large answer from another hall costs more than a long wait for one from the own.
-DOWNLOAD_PENALTY = 2.0
 FULL_SHARE = 1.0
 # Retries that an entry without a control replica may save up.
 LONE_RETRIES = 1.0
@@ -133,7 +128,6 @@
             self.board.services[name].budget = RetryBudget(
                 self.lone_retry_percent, initial=0, maximum=LONE_RETRIES
             )
-        self._refresh_penalties()
         self._refresh_warmups(now_ms)
 
     def _rows_by_service(
@@ -147,19 +141,6 @@
                 of_service[server.server_id] = _row_of(server, limit)
         return rows
 
-    def _refresh_penalties(self) -> None:
-        downloads = {
-            part.service
-            for route in self.mirror.sheet.routes
-            if route.kind is RouteKind.DOWNLOAD
-            for part in route.parts
-        }
-        for name, service in self.board.services.items():
-            is_download = name in downloads
-            service.hall_penalty = (
-                DOWNLOAD_PENALTY if is_download else SMALL_ANSWER_PENALTY
-            )
-
     def _refresh_warmups(self, now_ms: int) -> None:
         for service in self.board.services.values():
             for name, server in service.servers.items():
--- a/src/cinderway/entry/_dispatch.py
+++ b/src/cinderway/entry/_dispatch.py
@@ -28,9 +28,9 @@
 )
 from cinderway.limits import plan_connections
 from cinderway.routing import (
-    ONCE_SUSPECT_PENALTY,
-    SUSPECT_PENALTY,
+    USUAL_PENALTIES,
     Candidate,
+    Penalties,
     choose,
     own_subset,
 )
@@ -83,6 +83,7 @@
         *,
         exclude: set[ServerName],
         is_repeatable: bool,
+        penalties: Penalties = USUAL_PENALTIES,
     ) -> AsyncIterator[Exchange]:
         """Yield the head of one server's answer; its slot is held until the exit.
 
@@ -232,14 +233,14 @@
         service: ServiceState,
         deadline_ms: int,
         exclude: set[ServerName],
-        is_repeatable: bool,
+        penalties: Penalties,
     ) -> ServerState:
         admission = service.admission
         admission.waiting += 1
         try:
             while True:
                 now_ms = monotonic_ms()
-                server = self._free_server(service, exclude, now_ms, is_repeatable)
+                server = self._free_server(service, exclude, now_ms, penalties)
                 if server is not None:
                     server.in_flight += 1
                     return server
@@ -257,7 +258,7 @@
         service: ServiceState,
         exclude: set[ServerName],
         now_ms: int,
-        is_repeatable: bool,
+        penalties: Penalties,
     ) -> ServerState | None:
         candidates = [
             self._candidate(server, now_ms)
@@ -269,8 +270,7 @@
             candidates,
             self.board.data_hall,
             self.board.rng,
-            hall_penalty=service.hall_penalty,
-            suspect_penalty=SUSPECT_PENALTY if is_repeatable else ONCE_SUSPECT_PENALTY,
+            penalties=penalties,
         )
         chosen = pick(exclude=exclude)
         if chosen is None and exclude:
--- a/src/cinderway/entry/_requests.py
+++ b/src/cinderway/entry/_requests.py
@@ -14,7 +14,7 @@
     HeaderNames,
     Headers,
 )
-from cinderway.routing import RouteMatch
+from cinderway.routing import USUAL_PENALTIES, Penalties, RouteMatch
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 KEY_HEADER = b"idempotency-key"
@@ -62,6 +62,8 @@
     # How many servers may get it, and those that did.
     server_limit: int = ATTEMPT_LIMIT
     tried: set[ServerName] = field(default_factory=set)
+    # What counts against a server when one is chosen for it.
+    penalties: Penalties = USUAL_PENALTIES
 
     def header(self, name: bytes) -> bytes | None:
         """Return a header's value, or None."""
--- a/src/cinderway/entry/_route_handler.py
+++ b/src/cinderway/entry/_route_handler.py
@@ -14,7 +14,7 @@
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import AttemptId, CallerName, ServiceName
 from cinderway._operators import Metrics
-from cinderway.catalog import RouteRow, pick_service
+from cinderway.catalog import RouteKind, RouteRow, pick_service
 from cinderway.entry._answers import problem_answer
 from cinderway.entry._attempts import Attempts
 from cinderway.entry._backends import HeaderNames
@@ -29,6 +29,7 @@
     read_body,
 )
 from cinderway.ledger import Resolution
+from cinderway.routing import Penalties
 
 logger = logging.getLogger(__name__)
 
@@ -45,6 +46,13 @@
 # caller who would give up sooner is told to come back while it still can.
 SHEET_WAIT_MS = 700
 SHEET_WAIT_SHARE = 0.25
+# A repeatable request that fails goes to another server at once. For one that cannot be
+# sent again a failure is final, while waiting for a slot is not.
+REPEATABLE_PENALTIES = Penalties(other_hall=0.7, suspect=1.5)
+ONCE_PENALTIES = Penalties(other_hall=0.7, suspect=2.0)
+# A large answer from another hall costs more than a long wait for one from the own,
+# and more than a second try.
+DOWNLOAD_PENALTIES = Penalties(other_hall=2.0, suspect=1.5)
 
 
 @dataclass
@@ -112,6 +120,7 @@
             backend_request=backend_request_of(scope, body, self.names),
             attempt_id=AttemptId(attempt_id) if attempt_id else None,
             server_limit=route.server_limit or DEFAULT_SERVER_LIMIT,
+            penalties=penalties_of(route.kind),
         )
         await self._attempt(route, served.service, request, receive, reply)
 
@@ -212,6 +221,17 @@
         )
 
 
+def penalties_of(kind: RouteKind) -> Penalties:
+    """Return what counts against a server that is to get a route's requests."""
+    match kind:
+        case RouteKind.DOWNLOAD:
+            return DOWNLOAD_PENALTIES
+        case RouteKind.REPEATABLE:
+            return REPEATABLE_PENALTIES
+        case RouteKind.ONCE:
+            return ONCE_PENALTIES
+
+
 class _Served:
     """What became of one request, for its log line."""
 
--- a/src/cinderway/routing/__init__.py
+++ b/src/cinderway/routing/__init__.py
@@ -1,10 +1,9 @@
 """Which service a request belongs to, and which backend server gets it."""
 
 from cinderway.routing._choose import (
-    ONCE_SUSPECT_PENALTY,
-    OTHER_HALL_PENALTY,
-    SUSPECT_PENALTY,
+    USUAL_PENALTIES,
     Candidate,
+    Penalties,
     choose,
     own_subset,
     rank_of,
@@ -12,10 +11,9 @@
 from cinderway.routing._routes import RouteMatch, RouteTable
 
 __all__ = [
-    "ONCE_SUSPECT_PENALTY",
-    "OTHER_HALL_PENALTY",
-    "SUSPECT_PENALTY",
+    "USUAL_PENALTIES",
     "Candidate",
+    "Penalties",
     "RouteMatch",
     "RouteTable",
     "choose",
--- a/src/cinderway/routing/_choose.py
+++ b/src/cinderway/routing/_choose.py
@@ -8,16 +8,26 @@
 
 from cinderway._ids import DataHall, EntryName, ServerName
 
-# A server elsewhere must look this much emptier before a request leaves the hall:
-# the way there costs more than a small difference in load.
+# The way to another hall costs more than a small difference in load.
 OTHER_HALL_PENALTY = 0.25
 FULL_WEIGHT = 100
-# Shares of a server's slots by which one that has just failed a request must look
-# emptier: it comes after another hall's, but for downloads, whose bytes cost more on
-# the way than a second try.
+# One that has just failed a request comes after another hall's.
 SUSPECT_PENALTY = 1.5
-# For a request that cannot be sent again a failure is final; waiting for a slot is not.
-ONCE_SUSPECT_PENALTY = 2.0
+
+
+@dataclass(frozen=True)
+class Penalties:
+    """What counts against a server, as shares of its slots.
+
+    By so much must a server of another hall, or one that failed a request just now,
+    look emptier than the others before it is chosen.
+    """
+
+    other_hall: float = OTHER_HALL_PENALTY
+    suspect: float = SUSPECT_PENALTY
+
+
+USUAL_PENALTIES = Penalties()
 
 
 @dataclass(frozen=True)
@@ -45,23 +55,20 @@
     own_hall: DataHall,
     rng: random.Random,
     exclude: Collection[ServerName] = (),
-    hall_penalty: float = OTHER_HALL_PENALTY,
-    suspect_penalty: float = SUSPECT_PENALTY,
+    penalties: Penalties = USUAL_PENALTIES,
 ) -> Candidate | None:
     """Return the candidate with the least load for its weight, or None.
 
     Ties, which are common with 3 or 4 slots, are broken at random so that entries
-    that see the same loads do not all choose the same server. `hall_penalty` is the
-    share of a server's slots by which one elsewhere must look emptier, and
-    `suspect_penalty` that for one under full suspicion.
+    that see the same loads do not all choose the same server.
     """
     best, best_score = None, 0.0
     for candidate in candidates:
         if candidate.name in exclude:
             continue
-        penalty = suspect_penalty * candidate.suspicion
+        penalty = penalties.suspect * candidate.suspicion
         if candidate.data_hall != own_hall:
-            penalty += hall_penalty
+            penalty += penalties.other_hall
         score = _score(candidate, penalty) + rng.random() * 0.01
         if best is None or score < best_score:
             best, best_score = candidate, score
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -4,8 +4,8 @@
 from hypothesis import given, strategies as st
 
 from cinderway.routing import (
-    ONCE_SUSPECT_PENALTY,
     Candidate,
+    Penalties,
     RouteTable,
     choose,
     own_subset,
@@ -82,9 +82,16 @@
         servers = (candidate("a", suspicion=1.0), candidate("b", load=1.75))
         rng = random.Random(1)
         self.assertEqual(choose(servers, "suva", rng).name, "a")
-        chosen = choose(servers, "suva", rng, suspect_penalty=ONCE_SUSPECT_PENALTY)
+        chosen = choose(servers, "suva", rng, penalties=Penalties(suspect=2.0))
         self.assertEqual(chosen.name, "b")
 
+    def test_a_large_answer_crosses_halls_only_from_a_much_fuller_server(self):
+        servers = (candidate("a", "nadi"), candidate("b", load=1.5))
+        rng = random.Random(1)
+        small, large = Penalties(other_hall=0.7), Penalties(other_hall=2.0)
+        self.assertEqual(choose(servers, "suva", rng, penalties=small).name, "a")
+        self.assertEqual(choose(servers, "suva", rng, penalties=large).name, "b")
+
     def test_excluded_server_is_not_chosen(self):
         self.assertIsNone(self.choose(candidate("a"), exclude={"a"}))
 
