control: keep the log short; show the catalog only once caught up

Change: the log is compacted at 256 KiB. `Replica.has_caught_up` is true once the commit index covers what a leader had committed in its own term; until then a replica sends entries no catalog.

--- a/src/cinderway/control/_catalog_daemon.py
+++ b/src/cinderway/control/_catalog_daemon.py
@@ -41,6 +41,9 @@
     startup_max_ms=320,
 )
 TICK_S = 0.05
+# A catalog of today's fleets takes some 15 KB, a sheet some 8 KB. A replica that joins
+# gets the log as well, so it is kept at some thirty sheets.
+COMPACT_AT_BYTES = 256 * 1024
 
 
 async def run_catalog_control(settings: CatalogControlSettings) -> None:
@@ -114,6 +117,7 @@
         address=settings.listen,
         peers=_peers_of(settings),
         timing=TIMING,
+        compact_at_bytes=COMPACT_AT_BYTES,
         tick_s=TICK_S,
         wanted_voters=2 * settings.tolerated_losses + 1,
     )
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -228,6 +228,7 @@
             connection,
             self.machine,
             self._heartbeat,
+            lambda: self.node.core.has_caught_up,
         )
         self.followers.add(follower)
         logger.info(
--- a/src/cinderway/control/_follower.py
+++ b/src/cinderway/control/_follower.py
@@ -34,6 +34,8 @@
     connection: Connection
     machine: CatalogMachine
     heartbeat: Callable[[], CatalogHeartbeat]
+    # Whether the machine holds all that was acknowledged; until then nothing is shown.
+    has_caught_up: Callable[[], bool]
     _verdicts: VerdictBatch | None = None
     _sent_verdicts: VerdictBatch | None = None
     _suspects: list[SuspectServers] = field(default_factory=list)
@@ -72,7 +74,7 @@
                 await self._news.wait()
 
     async def _send_update(self) -> None:
-        if self.machine.revision <= self.known_revision:
+        if not self.has_caught_up() or self.machine.revision <= self.known_revision:
             return
         update = self.machine.update_since(self.known_revision)
         await self._send(update)
--- a/src/cinderway/replication/_core.py
+++ b/src/cinderway/replication/_core.py
@@ -143,6 +143,7 @@
         self._now_ms = now_ms
         self._wanted_voters = wanted_voters
         self._persisted_index = log.last_index
+        self._has_caught_up = False
         self._handed_out_index = log.snapshot.index
         self._votes: set[ReplicaId] = set()
         self._joining: dict[ReplicaId, Address] = {}
@@ -177,6 +178,17 @@
         """Whether this replica leads; another may already have replaced it."""
         return self.role is Role.LEADER
 
+    @property
+    def has_caught_up(self) -> bool:
+        """Whether what is committed here held all that was acknowledged, once at least.
+
+        A replica that has just started knows only a part of it until a leader, or its
+        own election, has told it more; it must not show that part as the state.
+        """
+        if not self._has_caught_up and self.is_leader:
+            self._has_caught_up = self.log.term_at(self.commit_index) == self.term
+        return self._has_caught_up
+
     def silent_members(self) -> list[ReplicaId]:
         """Members the leader has not heard from for an election timeout."""
         if not self.is_leader:
@@ -660,8 +672,15 @@
         self.commit_index = max(
             self.commit_index, min(request.commit_index, match_index)
         )
+        self._note_caught_up(request)
         self._reply_append(request, is_match=True, match_index=match_index)
 
+    def _note_caught_up(self, request: AppendRequest) -> None:
+        # The leader's own commit index says all only once it has committed in its term.
+        has_all = self.commit_index >= request.commit_index
+        if has_all and self.log.term_at(request.commit_index) == request.term:
+            self._has_caught_up = True
+
     def _hear_leader(self, leader_id: ReplicaId, term: int) -> None:
         if term > self.term or self.role is not Role.FOLLOWER:
             self._become_follower(term)
--- a/tests/replication/test_core.py
+++ b/tests/replication/test_core.py
@@ -529,6 +529,38 @@
         self.assertTrue(cluster.acknowledged)
 
 
+class CaughtUpTest(ClusterCase):
+    """A replica says that it knows all that was acknowledged only when it does."""
+
+    def restart_all(self):
+        for number in (1, 2, 3):
+            self.cluster.kill(number, written=True)
+        for number in (1, 2, 3):
+            self.cluster.restart(number)
+
+    def test_after_a_restart_of_all_nobody_has_caught_up_before_the_next_leader(self):
+        self.restart_all()
+        nodes = self.cluster.running()
+        self.assertFalse(any(node.core.has_caught_up for node in nodes))
+        self.cluster.settle()
+        self.run_for(400)
+        self.assertTrue(all(node.core.has_caught_up for node in nodes))
+
+    def test_one_that_has_caught_up_holds_every_acknowledged_command(self):
+        for _ in range(5):
+            self.cluster.propose()
+            self.cluster.settle()
+            self.restart_all()
+            for _ in range(100):
+                self.run_for(20)
+                for node in self.cluster.running():
+                    if node.core.has_caught_up:
+                        known = set(node.applied)
+                        self.assertLessEqual(
+                            set(self.cluster.acknowledged.values()), known
+                        )
+
+
 class ReplacementTest(ClusterCase):
     """A replica at a new address takes the place of one that is gone for good."""
 
