entry: hand penalties, not repeatability, to the choice of a server

Cause: passed `is_repeatable` where `_take_slot` takes penalties; each request ended as an unforeseen error.

--- a/src/cinderway/entry/_dispatch.py
+++ b/src/cinderway/entry/_dispatch.py
@@ -93,7 +93,7 @@
         server got nothing; BACKEND_SHED is the server's own word that it did not
         run the request.
         """
-        server = await self._take_slot(service, deadline_ms, exclude, is_repeatable)
+        server = await self._take_slot(service, deadline_ms, exclude, penalties)
         exclude.add(server.row.name)
         attempt = self.evidence.begin(service.row.name, server.row.name, monotonic_ms())
         try:
