judgement: a slow server keeps a part of its weight; entry: shed requests come back sooner

And a shed request's caller was told to come back in 0.2 to 0.6 s, late for an objective of 1 s. Change: the assessor keeps each server's mean time over some two seconds; from twice the service's usual time on, the server gets half of its weight, from four times a quarter. A shed is answered with 0.1 to 0.3 s. One log line for each new suspect and each server that turns slow or is as usual again. Ruled out: making slowness a suspicion; under load it is the whole service that is slow. Before: tests of the assessor and of the answer fail (no such verdict, no such time). After: they pass.

--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -171,6 +171,9 @@
             self.retry_pools.earn(service, count, len(self.followers), now_ms)
         suspects = self.assessor.new_suspects(now_ms)
         if suspects is not None:
+            logger.info(
+                "suspect: %s; failed at %s", ",".join(suspects.servers), batch.entry
+            )
             # The entry that saw them fail avoids them already.
             self._tell_entries(suspects, without=batch.entry)
             self._tell_replicas(suspects)
--- a/src/cinderway/control/_hall_assessor.py
+++ b/src/cinderway/control/_hall_assessor.py
@@ -42,6 +42,8 @@
 NORMAL_STEP = 1.25
 # Long enough for a server to fill its caches, short beside a failure's cost.
 SLOW_START_MS = 2_000
+# The reason of a verdict that only takes weight away.
+SLOW = "slow"
 
 _evidence_decoder = msgspec.msgpack.Decoder(list[ServerEvidence])
 
@@ -65,6 +67,7 @@
         self._decided_at_ms = 0
         self._said_normal_ms: dict[ServiceName, float] = {}
         self._ejected: set[ServerName] = set()
+        self._slow: set[ServerName] = set()
         self._suspicions = Suspicions()
         self._new_suspects: dict[ServerName, int] = {}
 
@@ -112,6 +115,7 @@
         self._decided_at_ms = now_ms
         halls = {r.data_hall for r in catalog.replicas.values()}
         lines: dict[DataHall, list[VerdictLine]] = {hall: [] for hall in halls}
+        self._slow &= catalog.registry.servers.keys()
         for service, judge in self._judges.items():
             self._decide_service(catalog, service, judge, lines, now_ms)
         normal_ms = self._normal_ms()
@@ -147,6 +151,25 @@
         for record in records:
             if record.standing is Standing.HEALTHY:
                 self._note(service, record, is_ejected=False)
+                share = judge.pace_share(record, now_ms)
+                self._note_pace(service, record, share)
+                if share < 1:
+                    line = VerdictLine(service, record.name, False, share, SLOW, 0.0)
+                    for lines_of_hall in lines.values():
+                        lines_of_hall.append(line)
+
+    def _note_pace(
+        self, service: ServiceName, record: ServerRecord, share: float
+    ) -> None:
+        """Log when a server turns slow and when it is no longer."""
+        server = record.name
+        was_slow = server in self._slow
+        if share < 1 and not was_slow:
+            self._slow.add(server)
+            logger.info("slow %s/%s: share %.2f", service, server, share)
+        elif share == 1 and was_slow:
+            self._slow.remove(server)
+            logger.info("no longer slow %s/%s", service, server)
 
     def _note(
         self, service: ServiceName, record: ServerRecord, is_ejected: bool
--- a/src/cinderway/entry/_route_handler.py
+++ b/src/cinderway/entry/_route_handler.py
@@ -38,6 +38,10 @@
 # Spread, so that callers told to come back do not come together.
 RETRY_AFTER_MINIMUM_S = 0.2
 RETRY_AFTER_SPREAD_S = 0.4
+# A server that shed a request may take the next one: slots come free within a tenth of
+# a second or two, and a caller that is back by then still gets its answer in time.
+SHED_RETRY_AFTER_MINIMUM_S = 0.1
+SHED_RETRY_AFTER_SPREAD_S = 0.2
 # Servers that one request may reach where its route does not say.
 DEFAULT_SERVER_LIMIT = 2
 # Several times the way to a caller; small beside any deadline of a second or more.
@@ -95,8 +99,7 @@
     async def _refuse(
         self, reply: Reply, error: CinderwayError, outcome: Resolution
     ) -> None:
-        spread_s = RETRY_AFTER_SPREAD_S * self.state.board.rng.random()
-        after_s = round(RETRY_AFTER_MINIMUM_S + spread_s, 2)
+        after_s = retry_after_s(error.code, self.state.board.rng.random())
         await reply.own(problem_answer(error, outcome, after_s))
 
     async def _serve(
@@ -221,6 +224,15 @@
         )
 
 
+def retry_after_s(code: ErrorCode, spread: float) -> float:
+    """Return when a refused caller is to come back; `spread` is from 0 to 1."""
+    if code is ErrorCode.BACKEND_SHED:
+        after_s = SHED_RETRY_AFTER_MINIMUM_S + SHED_RETRY_AFTER_SPREAD_S * spread
+    else:
+        after_s = RETRY_AFTER_MINIMUM_S + RETRY_AFTER_SPREAD_S * spread
+    return round(after_s, 2)
+
+
 def penalties_of(kind: RouteKind) -> Penalties:
     """Return what counts against a server that is to get a route's requests."""
     match kind:
--- a/src/cinderway/judgement/_judge.py
+++ b/src/cinderway/judgement/_judge.py
@@ -60,6 +60,12 @@
 WIDEN_THRESHOLD_SHARE = 0.5
 WIDEN_REPORTERS = 2
 MIN_TIME_COUNT = 3
+# Times of single requests scatter by half of their mean or more: the mean of four is
+# twice the usual one by chance only once in some hundred.
+SLOW_PACE_COUNT = 4
+SLOW_PACE_FACTOR = 2.0
+# Of a slow server's weight: half where it takes twice the usual time, or a quarter.
+SLOW_SHARES = (0.5, 0.25)
 CALLERS_FOR_A_PROBE = 4
 
 
@@ -106,6 +112,7 @@
         record.note(Observed(now_ms, reporter, hall, good, bad))
         record.callers.add(max(good + bad - evidence.probes, 0), 0, now_ms)
         record.time.add(evidence.time_sum_ms, evidence.time_count, now_ms)
+        record.pace.add(evidence.time_sum_ms, evidence.time_count, now_ms)
         if bad:
             record.reason = evidence.main_reason().value
         if is_out(record.standing) and (not record.halls or hall in record.halls):
@@ -163,6 +170,20 @@
             case _:
                 return 0.0
 
+    def pace_share(self, record: ServerRecord, now_ms: int) -> float:
+        """The share of its weight for a server that is well but slow at the moment.
+
+        Work that takes a server twice as long fills its slots twice as much. In two
+        steps, so that entries are told anew only when it matters.
+        """
+        record.pace.add(0, 0, now_ms)
+        if record.pace.second < SLOW_PACE_COUNT or not self.normal_ms:
+            return 1.0
+        factor = record.pace.first / record.pace.second / self.normal_ms
+        if factor < SLOW_PACE_FACTOR:
+            return 1.0
+        return SLOW_SHARES[factor >= SLOW_PACE_FACTOR**2]
+
     # Standings.
 
     def _decide_one(
--- a/src/cinderway/judgement/_record.py
+++ b/src/cinderway/judgement/_record.py
@@ -11,6 +11,8 @@
 TIMELINE_MS = 10_000
 RATE_HALF_LIFE_MS = 3_000
 TIME_HALF_LIFE_MS = 10_000
+# Servers turn slow and well again within seconds.
+PACE_HALF_LIFE_MS = 2_000
 
 FIRST_BAN_MS = 2_000
 LONGEST_BAN_MS = 30_000
@@ -82,6 +84,7 @@
     windows: dict[DataHall | None, Window] = field(default_factory=dict)
     rate: Decayed = field(default_factory=lambda: Decayed(RATE_HALF_LIFE_MS))
     time: Decayed = field(default_factory=lambda: Decayed(TIME_HALF_LIFE_MS))
+    pace: Decayed = field(default_factory=lambda: Decayed(PACE_HALF_LIFE_MS))
     callers: Decayed = field(default_factory=lambda: Decayed(RATE_HALF_LIFE_MS))
     timeline: deque[Observed] = field(default_factory=deque)
     standing: Standing = Standing.HEALTHY
--- a/tests/control/test_hall_assessor.py
+++ b/tests/control/test_hall_assessor.py
@@ -106,3 +106,50 @@
         sent = msgspec.structs.replace(sent, servers=msgspec.msgpack.encode([slow]))
         assessor.take(sent, 100)
         self.assertIsNone(assessor.new_suspects(100))
+
+    def serve(self, assessor, slow_ms, rounds=3):
+        """Let all entries get answers, in 100 ms but from the first server."""
+        for _ in range(rounds):
+            self.now_ms += 100
+            for entry in ENTRIES:
+                found = [
+                    ServerEvidence(
+                        LOOKUP,
+                        name,
+                        good=1,
+                        time_sum_ms=slow_ms if name == SERVERS[0] else 100.0,
+                        time_count=1,
+                    )
+                    for name in SERVERS
+                ]
+                sent = msgspec.structs.replace(
+                    batch(entry), servers=msgspec.msgpack.encode(found)
+                )
+                assessor.take(sent, self.now_ms)
+        lines = assessor.decide(self.catalog, self.now_ms)["suva"].lines
+        return {line.server: line.share for line in lines}
+
+    def test_a_slow_server_keeps_a_part_of_its_weight(self):
+        assessor = self.assessor()
+        self.assertEqual(self.serve(assessor, slow_ms=190.0), {})
+        self.assertEqual(self.serve(assessor, slow_ms=320.0, rounds=9), {"i-1": 0.5})
+        self.assertEqual(self.serve(assessor, slow_ms=900.0, rounds=9), {"i-1": 0.25})
+
+    def test_it_gets_its_whole_weight_back_within_seconds(self):
+        assessor = self.assessor()
+        self.serve(assessor, slow_ms=400.0)
+        self.now_ms += 4_000
+        self.assertEqual(self.serve(assessor, slow_ms=100.0), {})
+
+    def test_a_few_answers_make_no_server_slow(self):
+        assessor = self.assessor()
+        found = [ServerEvidence(LOOKUP, SERVERS[0], 3, time_sum_ms=9e3, time_count=3)]
+        found += [
+            ServerEvidence(LOOKUP, name, 3, time_sum_ms=300.0, time_count=3)
+            for name in SERVERS[1:]
+        ]
+        sent = msgspec.structs.replace(
+            batch(ENTRIES[0]), servers=msgspec.msgpack.encode(found)
+        )
+        assessor.take(sent, 100)
+        self.assertEqual(assessor.decide(self.catalog, 100)["suva"].lines, [])
--- a/tests/entry/test_route_handler.py
+++ b/tests/entry/test_route_handler.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from cinderway._errors import ErrorCode
 from cinderway._ids import DataHall, EntryName
 from cinderway._operators import Metrics
 from cinderway.catalog import CatalogMachine, InstallSheet, encode_command
@@ -13,7 +14,7 @@
 from cinderway.entry._blackboard import Blackboard
 from cinderway.entry._catalog_board import CatalogBoard
 from cinderway.entry._relay import WholeAnswer
-from cinderway.entry._route_handler import RouteHandler
+from cinderway.entry._route_handler import RouteHandler, retry_after_s
 from cinderway.judgement import EvidenceLog
 
 
@@ -112,3 +113,9 @@
         caller = Caller(60_000, between_parts=lambda: self.install(2, "archive"))
         self.assertEqual(anyio.run(self.serve, caller), [200])
         self.assertEqual(self.attempts.services, ["archive"])
+
+    def test_a_caller_whose_request_was_shed_may_come_back_sooner(self):
+        for spread in (0.0, 0.5, 1.0):
+            shed_s = retry_after_s(ErrorCode.BACKEND_SHED, spread)
+            self.assertGreater(shed_s, 0)
+            self.assertLess(shed_s, retry_after_s(ErrorCode.TABLE_UNKNOWN, spread))
