entry: entries of a hall share what they know of servers' loads

Cause: a server's load came only with its own answers to this entry, one in some two seconds for each pair, and was believed for 250 ms: 36 entries chose nearly blindly before servers of 3 slots. Change: an entry tells its replica each load it learns from an answer, and the load that it adds by sending; the replica passes both on to the entries of its own hall, at most fifty messages a second to each. Nothing crosses halls. Ruled out: sharing each entry's own counts of requests in flight (they drift when an entry dies; a server's own word does not); choosing among two at random (needless where what is sent is told within a few milliseconds). Before: tests.entry.test_catalog_board cannot pass (no such message). After: passes; tests.system.test_catalog passes.

--- a/src/cinderway/catalog/_conversation.py
+++ b/src/cinderway/catalog/_conversation.py
@@ -115,6 +115,17 @@
     for_ms: list[int]
 
 
+class ServerLoads(Message, frozen=True):
+    """How full servers are, as shares of their slots, requests that wait included.
+
+    An entry says so of servers that it has just sent a request to or had an answer
+    from; its replica passes it on to the other entries of the hall.
+    """
+
+    servers: list[ServerName]
+    loads: list[float]
+
+
 class SubmitCommand(Message, frozen=True):
     """One replica asks the leader to replicate a command for it."""
 
@@ -133,6 +144,7 @@
         EvidenceBatch,
         VerdictBatch,
         SuspectServers,
+        ServerLoads,
         TakeRetry,
         RetryAnswer,
         SubmitCommand,
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -11,7 +11,7 @@
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway._ids import Address, EntryName, ServiceName
+from cinderway._ids import Address, EntryName, ServerName, ServiceName
 from cinderway.catalog import (
     CATALOG,
     AnnounceReplica,
@@ -23,6 +23,7 @@
     FollowCatalog,
     ReplicasAnswer,
     RetryAnswer,
+    ServerLoads,
     SubmitCommand,
     SuspectServers,
     TakeRetry,
@@ -53,6 +54,9 @@
 ANNOUNCE_PAUSE_S = 0.5
 # Between two looks for observations to judge.
 ASSESS_PAUSE_S = 0.1
+# Loads that entries tell within this time are passed on together: well below the time
+# of a request, and at most fifty messages a second to an entry, however many there are.
+LOAD_PAUSE_S = 0.02
 # Stands also for a leader never heard from; the heartbeat's field has 32 bits.
 MAXIMUM_LEADER_AGE_MS = 2**31
 
@@ -79,6 +83,8 @@
     assessor: HallAssessor
     retry_pools: RetryPools
     followers: set[Follower] = field(default_factory=set)
+    _loads: dict[ServerName, float] = field(default_factory=dict)
+    _loads_changed: anyio.Event = field(default_factory=anyio.Event)
     _clients: dict[Address, RpcClient] = field(default_factory=dict)
     _tasks: anyio.abc.TaskGroup | None = None
 
@@ -93,6 +99,7 @@
             self._tasks = tasks
             tasks.start_soon(self._announce)
             tasks.start_soon(self._assess)
+            tasks.start_soon(self._share_loads)
             await self._watch()
 
     def leader_age_ms(self) -> int:
@@ -156,6 +163,9 @@
                             tasks.start_soon(self._feed, connection, request)
                         case EvidenceBatch() as batch:
                             self._take(batch)
+                        case ServerLoads(servers=servers, loads=loads):
+                            self._loads.update(zip(servers, loads, strict=True))
+                            self._loads_changed.set()
                         case message:
                             tasks.start_soon(
                                 self._answer, connection, envelope.call_id, message
@@ -267,6 +277,17 @@
                 if verdicts is not None:
                     follower.tell_verdicts(verdicts)
 
+    async def _share_loads(self) -> None:
+        """Pass loads on to the entries of the own hall; none cross halls."""
+        while True:
+            await self._loads_changed.wait()
+            self._loads_changed = anyio.Event()
+            loads, self._loads = self._loads, {}
+            for follower in self.followers:
+                if follower.data_hall == self.own.data_hall:
+                    follower.tell_loads(loads)
+            await anyio.sleep(LOAD_PAUSE_S)
+
     async def _announce(self) -> None:
         """Tell the fleet where this replica is, once it is a member of the group."""
         while self.machine.replicas.get(self.own.address) != self.own:
--- a/src/cinderway/control/_follower.py
+++ b/src/cinderway/control/_follower.py
@@ -10,10 +10,11 @@
 import anyio
 
 from cinderway._clock import monotonic_ms
-from cinderway._ids import DataHall, EntryName
+from cinderway._ids import DataHall, EntryName, ServerName
 from cinderway.catalog import (
     CatalogHeartbeat,
     CatalogMachine,
+    ServerLoads,
     SuspectServers,
     VerdictBatch,
 )
@@ -39,6 +40,7 @@
     _verdicts: VerdictBatch | None = None
     _sent_verdicts: VerdictBatch | None = None
     _suspects: list[SuspectServers] = field(default_factory=list)
+    _loads: dict[ServerName, float] = field(default_factory=dict)
     _heartbeat_at_ms: int = 0
     _news: anyio.Event = field(default_factory=anyio.Event)
 
@@ -51,6 +53,11 @@
         self._suspects.append(suspects)
         self.wake()
 
+    def tell_loads(self, loads: dict[ServerName, float]) -> None:
+        """Send these with what is sent next, the newest of each server."""
+        self._loads.update(loads)
+        self.wake()
+
     def tell_verdicts(self, verdicts: VerdictBatch) -> None:
         """Send these in place of earlier verdicts, if they differ."""
         if verdicts != self._verdicts:
@@ -69,6 +76,7 @@
             await self._send_update()
             await self._send_suspects()
             await self._send_verdicts()
+            await self._send_loads()
             await self._send_heartbeat()
             with anyio.move_on_after(HEARTBEAT_S):
                 await self._news.wait()
@@ -90,6 +98,11 @@
         self._sent_verdicts = self._verdicts
         await self._send(self._sent_verdicts)
 
+    async def _send_loads(self) -> None:
+        if self._loads:
+            loads, self._loads = self._loads, {}
+            await self._send(ServerLoads(list(loads), list(loads.values())))
+
     async def _send_heartbeat(self) -> None:
         if monotonic_ms() < self._heartbeat_at_ms:
             return
--- a/src/cinderway/entry/_blackboard.py
+++ b/src/cinderway/entry/_blackboard.py
@@ -15,7 +15,7 @@
 from cinderway._ids import DataHall, EntryName, ServerName, ServiceName
 from cinderway.limits import Admission, RetryBudget
 from cinderway.membership import Fleet
-from cinderway.routing import RouteTable
+from cinderway.routing import RouteTable, faded_load
 from cinderway.table import ServerRow, ServiceRow, Table
 
 
@@ -25,8 +25,10 @@
 
     row: ServerRow
     in_flight: int = 0
-    reported_load: float = 0.0
-    load_reported_at_ms: int = 0
+    # The last load known, by its own word or another entry's, and what was sent since.
+    known_load: float = 0.0
+    load_known_at_ms: int = 0
+    tells_load: bool = False
     # The server's own drain signal, seen here or by another entry.
     draining_until_ms: int = 0
     is_listed_leaving: bool = False
@@ -40,6 +42,16 @@
     is_ejected: bool = False
     is_held_by_floor: bool = False
 
+    def load_at(self, now_ms: int) -> float:
+        """How full it probably is, as a share of its slots; 0 if that is unknown."""
+        return faded_load(self.known_load, now_ms - self.load_known_at_ms)
+
+    def note_load(self, load: float, now_ms: int) -> None:
+        """Take over a load that was told by the server or by another entry."""
+        self.known_load = load
+        self.load_known_at_ms = now_ms
+        self.tells_load = True
+
     def takes_work(self, now_ms: int) -> bool:
         """Whether new requests may go there, ejection left aside.
 
@@ -90,6 +102,8 @@
     in_flight: int = 0
     # Entries of the fleet that are live, this one included.
     entry_count: int = 1
+    # Told of each server's load as this entry knows it, where entries share that.
+    on_load: Callable[[ServerName, float], None] | None = None
     table_changed: anyio.Event = field(default_factory=anyio.Event)
 
     def refresh_from_table(self, now_ms: int) -> None:
--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -15,10 +15,11 @@
     CatalogUpdate,
     RegisteredServer,
     RouteIndex,
+    ServerLoads,
     ServerStatus as Status,
     VerdictBatch,
 )
-from cinderway.entry._blackboard import Blackboard
+from cinderway.entry._blackboard import Blackboard, ServerState as ServerEntry
 from cinderway.judgement import EvidenceLog, Suspicions
 from cinderway.limits import RetryBudget
 from cinderway.table import ServerRow, ServerState, ServiceRow
@@ -41,11 +42,14 @@
     current_at_ms: int = 0
     activity: anyio.Event = field(default_factory=anyio.Event)
     bad_news: anyio.Event = field(default_factory=anyio.Event)
+    loads_changed: anyio.Event = field(default_factory=anyio.Event)
+    _loads: dict[ServerName, float] = field(default_factory=dict)
     _routed: anyio.Event = field(default_factory=anyio.Event)
     _suspicions: Suspicions = field(default_factory=Suspicions)
 
     def __post_init__(self):
         self.evidence.on_failure = self.note_failure
+        self.board.on_load = self._note_load
 
     @property
     def is_ready(self) -> bool:
@@ -75,11 +79,32 @@
 
     def suspect(self, server: ServerName, until_ms: int) -> None:
         """Use a server only where nothing better is free, until then."""
+        state = self._state_of(server)
+        if state is not None:
+            state.suspect_until_ms = max(state.suspect_until_ms, until_ms)
+
+    def _state_of(self, server: ServerName) -> ServerEntry | None:
         registered = self.mirror.servers.get(server)
         if registered is None or registered.service not in self.board.services:
-            return
-        state = self.board.services[registered.service].servers[server]
-        state.suspect_until_ms = max(state.suspect_until_ms, until_ms)
+            return None
+        return self.board.services[registered.service].servers[server]
+
+    def _note_load(self, server: ServerName, load: float) -> None:
+        self._loads[server] = load
+        self.loads_changed.set()
+
+    def take_loads(self) -> ServerLoads:
+        """Return the loads that this entry came to know since the last call."""
+        loads, self._loads = self._loads, {}
+        self.loads_changed = anyio.Event()
+        return ServerLoads(list(loads), list(loads.values()))
+
+    def hear_loads(self, message: ServerLoads, now_ms: int) -> None:
+        """Take over what other entries of the hall know."""
+        for name, load in zip(message.servers, message.loads, strict=True):
+            server = self._state_of(name)
+            if server is not None:
+                server.note_load(load, now_ms)
 
     def install(self, update: CatalogUpdate, now_ms: int) -> bool:
         """Put an update in force; False if it is not newer than what is."""
--- a/src/cinderway/entry/_catalog_follower.py
+++ b/src/cinderway/entry/_catalog_follower.py
@@ -25,6 +25,7 @@
     FollowCatalog,
     ReplicasAnswer,
     RetryAnswer,
+    ServerLoads,
     SuspectServers,
     TakeRetry,
     VerdictBatch,
@@ -57,6 +58,8 @@
 REPORT_PAUSE_S = 0.1
 # Good observations are gathered for this long; bad ones go out at the next look.
 GATHER_MS = 500
+# Loads that change within this time are told together.
+LOAD_PAUSE_S = 0.01
 # Takes all verdicts back that are in force.
 NO_VERDICTS = VerdictBatch([], [], [])
 
@@ -183,6 +186,8 @@
         self._connection = connection
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._report, connection)
+            if self._choice.is_home(address):
+                tasks.start_soon(self._share_loads, connection)
             try:
                 await self._listen(connection, address)
             except (CinderwayError, TimeoutError) as error:
@@ -205,6 +210,8 @@
                 case SuspectServers(servers=servers, for_ms=for_ms):
                     for server, left_ms in zip(servers, for_ms, strict=True):
                         self.state.suspect(server, now_ms + left_ms)
+                case ServerLoads():
+                    self.state.hear_loads(message, now_ms)
                 case RetryAnswer(is_granted=is_granted):
                     asked = self._asked.get(envelope.call_id)
                     if asked is not None:
@@ -262,6 +269,18 @@
             elif not self.state.board.in_flight:
                 self.state.activity = anyio.Event()
 
+    async def _share_loads(self, connection: Connection) -> None:
+        """Tell the hall how full servers are."""
+        while True:
+            await self.state.loads_changed.wait()
+            try:
+                with anyio.fail_after(REPORT_PAUSE_S):
+                    await connection.send(self.state.take_loads())
+            except (CinderwayError, TimeoutError) as error:
+                logger.info("loads of servers were not told: %s", str(error) or "slow")
+                await connection.aclose()
+            await anyio.sleep(LOAD_PAUSE_S)
+
     async def _send_evidence(self, connection: Connection, counts: dict) -> None:
         found = [
             evidence_from(service, server, seen)
--- a/src/cinderway/entry/_dispatch.py
+++ b/src/cinderway/entry/_dispatch.py
@@ -42,8 +42,6 @@
 SHED_PAUSE_MAXIMUM_MS = 250
 # A server that has just started takes about twice as long for each request.
 COLD_SHARE = 0.5
-# A load report says little once the requests that it counted are over.
-LOAD_REPORT_VALID_MS = 250
 
 
 @dataclass
@@ -220,8 +218,17 @@
             self.evidence.drain_seen(attempt)
         reported = parse_load(answer.header(answer.names.load))
         if reported is not None:
-            server.reported_load = reported
-            server.load_reported_at_ms = now_ms
+            self._note_load(server, reported, now_ms)
+
+    def _note_send(self, server: ServerState, now_ms: int) -> None:
+        if server.tells_load:
+            load = server.load_at(now_ms) + 1 / server.row.slots
+            self._note_load(server, load, now_ms)
+
+    def _note_load(self, server: ServerState, load: float, now_ms: int) -> None:
+        server.note_load(load, now_ms)
+        if self.board.on_load is not None:
+            self.board.on_load(server.row.name, load)
 
     def _shed_pause_ms(self, service: ServiceState) -> int:
         share = SHED_PAUSE_SHARE + self.board.rng.random()
@@ -243,6 +250,7 @@
                 server = self._free_server(service, exclude, now_ms, penalties)
                 if server is not None:
                     server.in_flight += 1
+                    self._note_send(server, now_ms)
                     return server
                 give_up_at_ms = deadline_ms - admission.service_time_ms
                 if now_ms >= give_up_at_ms:
@@ -298,14 +306,13 @@
         ]
 
     def _candidate(self, server: ServerState, now_ms: int) -> Candidate:
-        is_fresh = now_ms - server.load_reported_at_ms < LOAD_REPORT_VALID_MS
         return Candidate(
             name=server.row.name,
             data_hall=server.row.data_hall,
             weight=server.row.weight,
             slots=server.row.slots,
             in_flight=server.in_flight,
-            reported_load=server.reported_load if is_fresh else 0.0,
+            known_load=server.load_at(now_ms),
             suspicion=suspicion_left(server.suspect_until_ms, now_ms),
             share=server.share * (COLD_SHARE if now_ms < server.warm_until_ms else 1),
         )
--- a/src/cinderway/routing/__init__.py
+++ b/src/cinderway/routing/__init__.py
@@ -8,15 +8,18 @@
     own_subset,
     rank_of,
 )
+from cinderway.routing._load import LOAD_FADES_MS, faded_load
 from cinderway.routing._routes import RouteMatch, RouteTable
 
 __all__ = [
+    "LOAD_FADES_MS",
     "USUAL_PENALTIES",
     "Candidate",
     "Penalties",
     "RouteMatch",
     "RouteTable",
     "choose",
+    "faded_load",
     "own_subset",
     "rank_of",
 ]
--- a/src/cinderway/routing/_choose.py
+++ b/src/cinderway/routing/_choose.py
@@ -34,8 +34,8 @@
 class Candidate:
     """A backend server that may get the request.
 
-    `in_flight` counts this entry's own requests; `reported_load` is the share of
-    slots in use by the server's last report, 0 if unknown. `share` scales the
+    `in_flight` counts this entry's own requests; `known_load` is the share of
+    slots that others fill too, as far as known, 0 if not. `share` scales the
     weight down during slow start or on probation, over 0 up to 1. `suspicion` is 1
     just after it failed a request and fades to 0.
     """
@@ -45,7 +45,7 @@
     weight: int
     slots: int
     in_flight: int
-    reported_load: float
+    known_load: float
     share: float = 1.0
     suspicion: float = 0.0
 
@@ -77,7 +77,7 @@
 
 def _score(candidate: Candidate, penalty: float) -> float:
     own_load = (candidate.in_flight + 1) / candidate.slots
-    load = max(own_load, candidate.reported_load + 1 / candidate.slots)
+    load = max(own_load, candidate.known_load + 1 / candidate.slots)
     effective_weight = candidate.weight / FULL_WEIGHT * candidate.share
     return (load + penalty) / max(effective_weight, 0.001)
 
--- a/src/cinderway/wire/schemas/catalog.capnp
+++ b/src/cinderway/wire/schemas/catalog.capnp
@@ -17,6 +17,7 @@
     suspectServers @11 :SuspectServers;
     takeRetry @12 :TakeRetry;
     retryAnswer @13 :RetryAnswer;
+    serverLoads @14 :ServerLoads;
   }
 }
 
@@ -87,6 +88,11 @@
   forMs @1 :List(UInt32);
 }
 
+struct ServerLoads {
+  servers @0 :List(Text);
+  loads @1 :List(Float32);
+}
+
 struct SubmitCommand {
   data @0 :Data;
 }
--- a/tests/control/test_follower.py
+++ b/tests/control/test_follower.py
@@ -9,6 +9,7 @@
     CatalogMachine,
     CatalogUpdate,
     InstallSheet,
+    ServerLoads,
     encode_command,
 )
 from cinderway.control._follower import Follower
@@ -62,6 +63,14 @@
         anyio.run(self.feed_until_blocked)
         self.assertEqual(self.sent.kinds(), {CatalogHeartbeat})
 
+    def test_of_each_servers_loads_the_newest_is_sent(self):
+        def tell():
+            self.follower.tell_loads({"i-1": 0.3, "i-2": 1.0})
+            self.follower.tell_loads({"i-1": 0.6})
+
+        anyio.run(self.feed_until_blocked, tell)
+        self.assertIn(ServerLoads(["i-1", "i-2"], [0.6, 1.0]), self.sent.messages)
+
     def test_once_it_has_caught_up_it_shows_the_catalog_at_once(self):
         anyio.run(self.feed_until_blocked, self.catch_up)
         self.assertEqual(self.sent.kinds(), {CatalogHeartbeat, CatalogUpdate})
--- /dev/null
+++ b/tests/entry/test_catalog_board.py
@@ -0,0 +1,90 @@
+"""How the entries of a hall share what they know of servers' loads."""
+
+import json
+import random
+import unittest
+
+from cinderway._clock import monotonic_ms
+from cinderway._ids import Address, DataHall, EntryName, ServerName, ServiceName
+from cinderway.catalog import (
+    CatalogMachine,
+    InstallSheet,
+    Register,
+    RegisteredServer,
+    ServerLoads,
+    ServerStatus,
+    encode_command,
+)
+from cinderway.entry._backends import BackendConnections
+from cinderway.entry._blackboard import Blackboard
+from cinderway.entry._catalog_board import CatalogBoard
+from cinderway.entry._dispatch import Dispatcher
+from cinderway.judgement import EvidenceLog
+from cinderway.routing import USUAL_PENALTIES
+
+SERVICE = ServiceName("lookup")
+SUVA = DataHall("suva")
+
+
+def catalog(servers):
+    machine = CatalogMachine()
+    content = {"version": 1, "routes": [], "services": [{"name": SERVICE}]}
+    commands = [InstallSheet(json.dumps(content).encode())]
+    commands += [
+        Register(
+            RegisteredServer(
+                ServerName(name),
+                SERVICE,
+                Address(f"10.0.0.{number}:80"),
+                SUVA,
+                4,
+                ServerStatus.ACTIVE,
+            )
+        )
+        for number, name in enumerate(servers)
+    ]
+    for index, command in enumerate(commands, 1):
+        machine.apply(index, encode_command(command))
+    return machine
+
+
+class SharedLoadTests(unittest.TestCase):
+    def setUp(self):
+        board = Blackboard(EntryName("e1"), SUVA, random.Random(1))
+        self.state = CatalogBoard(board, EvidenceLog(), lone_retry_percent=5)
+        self.state.install(catalog(["a", "b"]).update_since(0), now_ms=0)
+        self.servers = board.services[SERVICE].servers
+        self.dispatcher = Dispatcher(board, BackendConnections(), EvidenceLog())
+
+    def hear(self, **loads):
+        message = ServerLoads(list(loads), list(loads.values()))
+        self.state.hear_loads(message, monotonic_ms())
+
+    def choice(self):
+        service = self.state.board.services[SERVICE]
+        # A fresh look each time: nothing is noted as sent.
+        return self.dispatcher._free_server(
+            service, set(), monotonic_ms(), USUAL_PENALTIES
+        ).row.name
+
+    def test_what_another_entry_knows_decides_where_this_one_sends(self):
+        self.hear(a=1.5, b=0.5)
+        self.assertEqual({self.choice() for _ in range(20)}, {"b"})
+        self.hear(a=0.25, b=2.0)
+        self.assertEqual({self.choice() for _ in range(20)}, {"a"})
+
+    def test_a_request_that_is_sent_counts_at_once_for_the_others(self):
+        self.hear(a=0.5, b=2.0)
+        server = self.servers["a"]
+        self.dispatcher._note_send(server, server.load_known_at_ms)
+        told = self.state.take_loads()
+        self.assertEqual((told.servers, told.loads), (["a"], [0.75]))
+        self.assertEqual(self.state.take_loads().servers, [])
+
+    def test_nothing_is_made_up_of_servers_that_tell_no_load(self):
+        self.dispatcher._note_send(self.servers["a"], monotonic_ms())
+        self.assertEqual(self.state.take_loads().servers, [])
+
+    def test_loads_of_servers_that_are_not_known_here_are_passed_over(self):
+        self.hear(unknown=1.0, a=0.5)
+        self.assertEqual(self.servers["a"].known_load, 0.5)
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -4,10 +4,12 @@
 from hypothesis import given, strategies as st
 
 from cinderway.routing import (
+    LOAD_FADES_MS,
     Candidate,
     Penalties,
     RouteTable,
     choose,
+    faded_load,
     own_subset,
 )
 from cinderway.table import ServiceRow
@@ -96,6 +98,17 @@
         self.assertIsNone(self.choose(candidate("a"), exclude={"a"}))
 
 
+class LoadTest(unittest.TestCase):
+    @given(st.floats(0, 10), st.integers(-50, 5_000), st.integers(0, 1_000))
+    def test_a_known_load_only_ever_fades_and_is_gone_in_the_end(
+        self, load, age_ms, later_ms
+    ):
+        first, second = faded_load(load, age_ms), faded_load(load, age_ms + later_ms)
+        self.assertLessEqual(second, first)
+        self.assertTrue(0 <= first <= load)
+        self.assertEqual(faded_load(load, LOAD_FADES_MS), 0)
+
+
 class SubsetTest(unittest.TestCase):
     @given(st.integers(1, 30), st.integers(2, 40))
     def test_server_that_goes_moves_only_its_own_share(self, size, count):
