entry: do not take another hall's servers for empty

Change: a server elsewhere counts as at least half as full as the own hall's mean. Before: tests.entry.test_catalog_board, the test on another hall: chooses the far server. After: passes.

--- a/src/cinderway/entry/_dispatch.py
+++ b/src/cinderway/entry/_dispatch.py
@@ -40,6 +40,9 @@
 SHED_PAUSE_SHARE = 0.5
 SHED_PAUSE_MINIMUM_MS = 2
 SHED_PAUSE_MAXIMUM_MS = 250
+# Loads are shared within a hall only. Of another hall's servers it is assumed that they
+# are at least half as full as the own ones: callers come to all halls at once.
+FAR_LOAD_SHARE = 0.5
 # A server that has just started takes about twice as long for each request.
 COLD_SHARE = 0.5
 
@@ -268,9 +271,11 @@
         now_ms: int,
         penalties: Penalties,
     ) -> ServerState | None:
+        subset = self._subset(usable_servers(service))
+        far_load = FAR_LOAD_SHARE * self._own_hall_load(subset, now_ms)
         candidates = [
-            self._candidate(server, now_ms)
-            for server, limit in self._subset(usable_servers(service))
+            self._candidate(server, now_ms, far_load)
+            for server, limit in subset
             if server.in_flight < limit and server.pause_until_ms <= now_ms
         ]
         pick = partial(
@@ -305,14 +310,30 @@
             if server.row.name in chosen
         ]
 
-    def _candidate(self, server: ServerState, now_ms: int) -> Candidate:
+    def _own_hall_load(
+        self, subset: list[tuple[ServerState, int]], now_ms: int
+    ) -> float:
+        """Return the mean of what is known of the own hall's servers' loads."""
+        loads = [
+            server.load_at(now_ms)
+            for server, _ in subset
+            if server.row.data_hall == self.board.data_hall
+        ]
+        return sum(loads) / len(loads) if loads else 0.0
+
+    def _candidate(
+        self, server: ServerState, now_ms: int, far_load: float
+    ) -> Candidate:
+        known_load = server.load_at(now_ms)
+        if server.row.data_hall != self.board.data_hall:
+            known_load = max(known_load, far_load)
         return Candidate(
             name=server.row.name,
             data_hall=server.row.data_hall,
             weight=server.row.weight,
             slots=server.row.slots,
             in_flight=server.in_flight,
-            known_load=server.load_at(now_ms),
+            known_load=known_load,
             suspicion=suspicion_left(server.suspect_until_ms, now_ms),
             share=server.share * (COLD_SHARE if now_ms < server.warm_until_ms else 1),
         )
--- a/tests/entry/test_catalog_board.py
+++ b/tests/entry/test_catalog_board.py
@@ -1,5 +1,6 @@
 """How the entries of a hall share what they know of servers' loads."""
 
+import dataclasses
 import json
 import random
 import unittest
@@ -20,7 +21,7 @@
 from cinderway.entry._catalog_board import CatalogBoard
 from cinderway.entry._dispatch import Dispatcher
 from cinderway.judgement import EvidenceLog
-from cinderway.routing import USUAL_PENALTIES
+from cinderway.routing import USUAL_PENALTIES, Penalties
 
 SERVICE = ServiceName("lookup")
 SUVA = DataHall("suva")
@@ -60,11 +61,11 @@
         message = ServerLoads(list(loads), list(loads.values()))
         self.state.hear_loads(message, monotonic_ms())
 
-    def choice(self):
+    def choice(self, penalties=USUAL_PENALTIES):
         service = self.state.board.services[SERVICE]
         # A fresh look each time: nothing is noted as sent.
         return self.dispatcher._free_server(
-            service, set(), monotonic_ms(), USUAL_PENALTIES
+            service, set(), monotonic_ms(), penalties
         ).row.name
 
     def test_what_another_entry_knows_decides_where_this_one_sends(self):
@@ -73,6 +74,15 @@
         self.hear(a=0.25, b=2.0)
         self.assertEqual({self.choice() for _ in range(20)}, {"a"})
 
+    def test_another_halls_servers_are_not_taken_for_empty(self):
+        far = self.servers["b"]
+        far.row = dataclasses.replace(far.row, data_hall=DataHall("nadi"))
+        # Full, but hardly fuller than another hall would be by then.
+        self.hear(a=1.25)
+        self.assertEqual(self.choice(Penalties(other_hall=0.7)), "a")
+        self.hear(a=2.0)
+        self.assertEqual(self.choice(Penalties(other_hall=0.7)), "b")
+
     def test_a_request_that_is_sent_counts_at_once_for_the_others(self):
         self.hear(a=0.5, b=2.0)
         server = self.servers["a"]
