--- /dev/null
+++ b/tests/entry/test_catalog_follower.py
@@ -0,0 +1,52 @@
+"""When an entry leaves the control replica that it follows."""
+
+import random
+import unittest
+
+from cinderway._errors import CinderwayError, ErrorCode
+from cinderway._ids import Address, DataHall, EntryName
+from cinderway._settings import CatalogEntrySettings, parse_settings
+from cinderway.entry._blackboard import Blackboard
+from cinderway.entry._catalog_board import CatalogBoard
+from cinderway.entry._catalog_follower import LEADER_AGE_LIMIT_MS, CatalogFollower
+from cinderway.entry._replica_choice import LEADERLESS_AVOID_MS
+from cinderway.judgement import EvidenceLog
+from cinderway.wire import Identity
+
+HERE, THERE = (Address(f"10.0.0.{number}:7100") for number in (1, 2))
+STALE_MS = LEADER_AGE_LIMIT_MS + 1
+
+
+class HearTests(unittest.TestCase):
+    def setUp(self):
+        settings = parse_settings(
+            CatalogEntrySettings,
+            {
+                "name": "e1",
+                "data_hall": "suva",
+                "callers_listen": "127.0.0.1:0",
+                "seeds": "10.0.0.1:80,10.0.0.2:80",
+                "control_port": "7100",
+                "shared_key": "a key of sixteen",
+            },
+        )
+        board = Blackboard(EntryName("e1"), DataHall("suva"), random.Random(1))
+        self.state = CatalogBoard(board, EvidenceLog(), lone_retry_percent=5)
+        identity = Identity("e1", b"a key of sixteen")
+        self.follower = CatalogFollower(settings, self.state, identity)
+
+    def test_a_replica_that_hears_a_leader_says_how_old_the_catalog_may_be(self):
+        self.follower._hear(HERE, 300, 10_000)
+        self.assertEqual(self.state.age_ms(10_000), 300)
+
+    def test_one_without_a_leader_is_left_for_another(self):
+        with self.assertRaises(CinderwayError) as raised:
+            self.follower._hear(HERE, STALE_MS, 10_000)
+        self.assertEqual(raised.exception.code, ErrorCode.NO_QUORUM)
+
+    def test_where_all_are_without_a_leader_an_entry_stays_with_one_for_a_while(self):
+        self.follower._choice.avoid(THERE, 10_000, LEADERLESS_AVOID_MS)
+        self.follower._hear(HERE, STALE_MS, 10_000)
+        self.assertEqual(self.state.current_at_ms, 10_000 - STALE_MS)
+        with self.assertRaises(CinderwayError):
+            self.follower._hear(HERE, STALE_MS, 10_000 + LEADERLESS_AVOID_MS)
