--- a/src/cinderway/entry/_catalog_follower.py
+++ b/src/cinderway/entry/_catalog_follower.py
@@ -183,6 +183,9 @@
             known_revision,
         )
         failure: Exception | None = None
+        # What was earned alone must not be spent on top of the shared budget later.
+        for service in self.state.board.services.values():
+            service.budget.empty()
         self._connection = connection
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._report, connection)
--- a/src/cinderway/limits/_retry_budget.py
+++ b/src/cinderway/limits/_retry_budget.py
@@ -27,6 +27,10 @@
         """Note a first attempt."""
         self._tokens = min(self._tokens + self.percent / 100, self.maximum)
 
+    def empty(self) -> None:
+        """Give up what was earned: the retries are paid for elsewhere from now on."""
+        self._tokens = 0.0
+
     def spend(self) -> bool:
         """Take one retry; False if there is none left."""
         if self._tokens < 1:
--- a/tests/entry/test_catalog_follower.py
+++ b/tests/entry/test_catalog_follower.py
@@ -3,20 +3,39 @@
 import random
 import unittest
 
-from cinderway._errors import CinderwayError, ErrorCode
-from cinderway._ids import Address, DataHall, EntryName
+import anyio
+
+from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._ids import Address, DataHall, EntryName, ServiceName
 from cinderway._settings import CatalogEntrySettings, parse_settings
-from cinderway.entry._blackboard import Blackboard
+from cinderway.entry._blackboard import Blackboard, ServiceState
 from cinderway.entry._catalog_board import CatalogBoard
 from cinderway.entry._catalog_follower import LEADER_AGE_LIMIT_MS, CatalogFollower
 from cinderway.entry._replica_choice import LEADERLESS_AVOID_MS
 from cinderway.judgement import EvidenceLog
+from cinderway.limits import RetryBudget
+from cinderway.table import ServiceRow
 from cinderway.wire import Identity
 
 HERE, THERE = (Address(f"10.0.0.{number}:7100") for number in (1, 2))
 STALE_MS = LEADER_AGE_LIMIT_MS + 1
 
 
+class SilentReplica:
+    """A connection on which nothing comes, and that ends at once."""
+
+    async def send(self, message, call_id=0):
+        pass
+
+    async def receive(self):
+        raise CinderwayError(
+            ErrorCode.PEER_UNREACHABLE, "the connection ended", step=Step.RECEIVE
+        )
+
+    async def aclose(self):
+        pass
+
+
 class HearTests(unittest.TestCase):
     def setUp(self):
         settings = parse_settings(
@@ -50,3 +69,13 @@
         self.assertEqual(self.state.current_at_ms, 10_000 - STALE_MS)
         with self.assertRaises(CinderwayError):
             self.follower._hear(HERE, STALE_MS, 10_000 + LEADERLESS_AVOID_MS)
+
+    def test_what_was_earned_alone_is_given_up_for_the_shared_budget(self):
+        row = ServiceRow(name=ServiceName("lookup"))
+        service = ServiceState(row, RetryBudget(100, initial=1, maximum=1))
+        self.state.board.services[row.name] = service
+        with self.assertRaises(CinderwayError):
+            anyio.run(self.follower._follow, SilentReplica(), HERE)
+        self.assertFalse(anyio.run(self.follower.spend, service))
+        self.follower.earn(service)
+        self.assertTrue(anyio.run(self.follower.spend, service))
--- a/tests/limits/test_limits.py
+++ b/tests/limits/test_limits.py
@@ -32,6 +32,14 @@
             allowed = INITIAL_TOKENS + first_attempts * percent / 100
             self.assertLessEqual(retries, allowed + 1e-6)
 
+    def test_an_emptied_budget_grants_nothing_before_it_has_earned_again(self):
+        budget = RetryBudget(50)
+        budget.empty()
+        budget.earn()
+        self.assertFalse(budget.spend())
+        budget.earn()
+        self.assertTrue(budget.spend())
+
 
 class ConnectionPlanTest(unittest.TestCase):
     @given(st.integers(2, 400), st.integers(1, 200), st.integers(1, 50))
