entry: send nothing more for a caller that has left

A request that may run once is not given up once a server was chosen for it; since servers out of reach are followed by another for free (0.5 s each), and requests wait for the first sheet, it can be sent long after that. Change: a caller's leaving is noted on the request; no further server is tried after it. A caller that left while its request waited is noticed before the first attempt. Before: tests.entry.test_attempts (two servers tried) and test_route_handler (served) fail. After: they pass.

--- a/src/cinderway/entry/_attempts.py
+++ b/src/cinderway/entry/_attempts.py
@@ -3,7 +3,8 @@
 A request that may have run is sent again only if it is repeatable. Hedges and retries
 are paid for from a retry budget and bounded by the request's server limit; retries
 after a shed are neither, unless `pays_for_sheds` is set. A server that could not be
-reached got nothing: another is tried for free, a few times.
+reached got nothing: another is tried for free, a few times. Nothing is sent again for a
+caller that has left.
 """
 
 import itertools
@@ -173,6 +174,6 @@
 
 
 def _has_attempts(request: CallerRequest, rounds: int, unreached: int) -> bool:
-    if unreached > UNREACHED_LIMIT:
+    if request.caller_left.is_set() or unreached > UNREACHED_LIMIT:
         return False
     return max(rounds, len(request.tried)) - unreached < request.server_limit
--- a/src/cinderway/entry/_requests.py
+++ b/src/cinderway/entry/_requests.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+import anyio
 import xxhash
 
 from cinderway._http_body import whole_body
@@ -62,6 +63,8 @@
     # How many servers may get it, and those that did.
     server_limit: int = ATTEMPT_LIMIT
     tried: set[ServerName] = field(default_factory=set)
+    # Set when the caller is gone while an attempt is seen to its end all the same.
+    caller_left: anyio.Event = field(default_factory=anyio.Event)
     # What counts against a server when one is chosen for it.
     penalties: Penalties = USUAL_PENALTIES
 
--- a/src/cinderway/entry/_route_handler.py
+++ b/src/cinderway/entry/_route_handler.py
@@ -188,6 +188,8 @@
         async with anyio.create_task_group() as tasks:
             scope = tasks.cancel_scope
             tasks.start_soon(_watch_caller, receive, scope, route, request)
+            # One that left while its request waited is noticed before a server gets it.
+            await anyio.lowlevel.checkpoint()
             try:
                 answer = await self.attempts.whole_answer(
                     state, request, route.is_repeatable
@@ -261,12 +263,14 @@
 ) -> None:
     """Give a request up when its caller leaves, unless it may not run again.
 
-    One that may run once only is seen to its end when a server has got it; while it
-    still waits for a server it is given up too.
+    An attempt of one that may run once only is seen to its end when a server may have
+    got it, but no other server gets it after that; while it still waits for a server it
+    is given up too.
     """
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             break
+    request.caller_left.set()
     if route.is_repeatable or not request.tried:
         scope.cancel()
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -56,7 +56,7 @@
 
 
 class AttemptsTests(unittest.TestCase):
-    def outcome_of(self, *errors, server_limit=2):
+    def outcome_of(self, *errors, server_limit=2, has_left=False):
         self.dispatcher = FailingDispatcher(*errors)
         self.budget = NoRetries()
         attempts = Attempts(self.dispatcher, Metrics(), 1024, True, self.budget)
@@ -72,6 +72,8 @@
             backend_request=BackendRequest(b"POST", b"/p/x", [], b""),
             server_limit=server_limit,
         )
+        if has_left:
+            request.caller_left.set()
         with self.assertRaises(OutcomeError) as raised:
             anyio.run(attempts.whole_answer, service, request, False)
         return raised.exception.outcome
@@ -87,6 +89,11 @@
         self.assertEqual(outcome, Resolution.NOT_RUN)
         self.assertEqual(len(self.dispatcher.errors), 9 - UNREACHED_LIMIT - 1)
 
+    def test_no_other_server_is_tried_for_a_caller_that_has_left(self):
+        outcome = self.outcome_of(UNREACHED, UNREACHED, has_left=True)
+        self.assertEqual(outcome, Resolution.NOT_RUN)
+        self.assertEqual(len(self.dispatcher.errors), 1)
+
     def test_a_request_that_may_have_run_is_not_sent_again(self):
         self.assertEqual(self.outcome_of(BROKEN, BROKEN), Resolution.UNKNOWN)
         self.assertEqual(len(self.dispatcher.errors), 1)
--- a/tests/entry/test_route_handler.py
+++ b/tests/entry/test_route_handler.py
@@ -18,11 +18,12 @@
 from cinderway.judgement import EvidenceLog
 
 
-def sheet(version, service="lookup"):
+def sheet(version, service="lookup", kind="repeatable"):
     route = {
         "name": "r",
         "host": "a.example",
         "path_prefix": "/p/",
+        "kind": kind,
         "timeout_ms": 1000,
         "service": service,
     }
@@ -48,6 +49,7 @@
         self.statuses = []
         self._parts = [b"first ", b"second"]
         self._between_parts = between_parts
+        self._left = anyio.Event()
         self.scope = {
             "type": "http",
             "method": "POST",
@@ -60,9 +62,15 @@
             ],
         }
 
+    def leave(self):
+        self._left.set()
+
     async def receive(self):
         if not self._parts:
-            await anyio.sleep_forever()
+            # As the HTTP server does: at once if it is known already.
+            if not self._left.is_set():
+                await self._left.wait()
+            return {"type": "http.disconnect"}
         body = self._parts.pop(0)
         if not self._parts and self._between_parts is not None:
             self._between_parts()
@@ -81,10 +89,10 @@
         self.attempts = AnsweringAttempts()
         self.handler = RouteHandler(self.state, self.attempts, HeaderNames(), Metrics())
 
-    def install(self, version, service="lookup"):
+    def install(self, version, service="lookup", kind="repeatable"):
         known = self.machine.revision
         self.machine.apply(
-            known + 1, encode_command(InstallSheet(sheet(version, service)))
+            known + 1, encode_command(InstallSheet(sheet(version, service, kind)))
         )
         self.state.install(self.machine.update_since(known), now_ms=0)
 
@@ -108,6 +116,18 @@
         self.assertEqual(anyio.run(self.serve, Caller(deadline_ms=40)), [503])
         self.assertEqual(self.attempts.services, [])
 
+    def test_nothing_is_sent_for_a_caller_that_left_while_its_request_waited(self):
+        async def scenario(caller):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.serve, caller)
+                await anyio.wait_all_tasks_blocked()
+                caller.leave()
+                self.install(1, kind="once")
+            return caller.statuses
+
+        self.assertEqual(anyio.run(scenario, Caller(deadline_ms=60_000)), [])
+        self.assertEqual(self.attempts.services, [])
+
     def test_a_service_that_leaves_while_the_body_comes_is_not_used(self):
         self.install(1, "lookup")
         caller = Caller(60_000, between_parts=lambda: self.install(2, "archive"))
