control, entry: notice a cut-off leader within three seconds

Change: a leader steps down after 0.9 s without a quorum (a setting of its own), entries leave a replica at 1.3 s, and news does not put the next heartbeat off. Before: tests of the follower and the core fail. After: they pass; 0.95 + 1.3 + 0.5 s and a reconnection come to about 2.8 s (worked out).

--- a/src/cinderway/control/_catalog_daemon.py
+++ b/src/cinderway/control/_catalog_daemon.py
@@ -37,6 +37,7 @@
     heartbeat_ms=250,
     election_min_ms=900,
     election_max_ms=1_500,
+    quorum_silent_ms=900,
     startup_min_ms=80,
     startup_max_ms=320,
 )
--- a/src/cinderway/control/_follower.py
+++ b/src/cinderway/control/_follower.py
@@ -78,9 +78,13 @@
             await self._send_verdicts()
             await self._send_loads()
             await self._send_heartbeat()
-            with anyio.move_on_after(HEARTBEAT_S):
+            with anyio.move_on_after(self._pause_s(monotonic_ms())):
                 await self._news.wait()
 
+    def _pause_s(self, now_ms: int) -> float:
+        """Return how long the next heartbeat can wait, whatever was sent since."""
+        return max(self._heartbeat_at_ms - now_ms, 0) / 1000
+
     async def _send_update(self) -> None:
         if not self.has_caught_up() or self.machine.revision <= self.known_revision:
             return
--- a/src/cinderway/entry/_catalog_follower.py
+++ b/src/cinderway/entry/_catalog_follower.py
@@ -44,8 +44,9 @@
 
 # Three heartbeats of the replica; a change must be in force within two seconds.
 SILENT_LIMIT_S = 1.6
-# Above an election's length, so that one alone makes no entry change replica.
-LEADER_AGE_LIMIT_MS = 1_800
+# Together with the time in which a leader that is cut off notices it (0.9 s) and with a
+# heartbeat's interval, an entry behind a cut leaves the minority's replicas within 3 s.
+LEADER_AGE_LIMIT_MS = 1_300
 FIND_TIMEOUT_S = 0.5
 CONNECT_TIMEOUT_S = 0.5
 # Between two rounds through all replicas.
--- a/src/cinderway/replication/_core.py
+++ b/src/cinderway/replication/_core.py
@@ -68,6 +68,9 @@
     # has none to wait for. A pre-vote disturbs nobody who does hear one.
     startup_min_ms: int = 400
     startup_max_ms: int = 800
+    # A leader that has not heard a quorum for this long steps down: until then its
+    # followers take it for one.
+    quorum_silent_ms: int = 800
     # A voter that is silent for this long makes room once another took its place.
     replace_silent_ms: int = 5_000
 
@@ -447,7 +450,8 @@
         self._advance_membership()
 
     def _hears_quorum(self) -> bool:
-        silent = set(self.silent_members())
+        oldest_ms = self._now_ms - self.timing.quorum_silent_ms
+        silent = set(self._silent_since(oldest_ms))
         return is_quorum(self.membership.voters, self.progress.keys() - silent)
 
     def _append_own(self, kind: EntryKind, data: bytes) -> int:
--- a/tests/control/test_follower.py
+++ b/tests/control/test_follower.py
@@ -71,6 +71,11 @@
         anyio.run(self.feed_until_blocked, tell)
         self.assertIn(ServerLoads(["i-1", "i-2"], [0.6, 1.0]), self.sent.messages)
 
+    def test_news_in_between_does_not_put_the_next_heartbeat_off(self):
+        self.follower._heartbeat_at_ms = 500
+        self.assertEqual(self.follower._pause_s(490), 0.01)
+        self.assertEqual(self.follower._pause_s(510), 0)
+
     def test_once_it_has_caught_up_it_shows_the_catalog_at_once(self):
         anyio.run(self.feed_until_blocked, self.catch_up)
         self.assertEqual(self.sent.kinds(), {CatalogHeartbeat, CatalogUpdate})
--- a/tests/replication/test_core.py
+++ b/tests/replication/test_core.py
@@ -477,6 +477,18 @@
             self.cluster.deliver(30)
 
 
+class QuorumTest(ClusterCase):
+    """A leader notices soon that it is cut off, by a time of its own."""
+
+    def test_it_steps_down_as_soon_as_its_quorum_is_silent_for_long_enough(self):
+        leader = self.leader()
+        leader.core.timing = Timing(quorum_silent_ms=200)
+        for address in self.cluster.nodes:
+            self.cluster.cuts.add((address, leader.address))
+        self.run_for(340)
+        self.assertFalse(leader.core.is_leader)
+
+
 class CutsTest(ClusterCase):
     """Focused cases of what the state machine covers at random."""
 
