entry: take candidates and load reports out of the dispatcher

Which servers may get a request, and how a server's word on its load is read, get modules of their own; a positional boolean becomes a keyword. Behaviour unchanged.

--- a/src/cinderway/entry/_dispatch.py
+++ b/src/cinderway/entry/_dispatch.py
@@ -1,10 +1,8 @@
 """Bring a request to a backend server: wait for a slot, attempt, note what came."""
 
-import re
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from functools import partial
 
 import anyio
 
@@ -18,18 +16,18 @@
     BackendRequest,
 )
 from cinderway.entry._blackboard import Blackboard, ServerState, ServiceState
+from cinderway.entry._candidates import free_candidates
+from cinderway.entry._load_report import parse_load
 from cinderway.judgement import (
     DRAIN_VALID_MS,
     PIECE_BYTES,
     Attempt,
     Bad,
     EvidenceLog,
-    suspicion_left,
 )
 from cinderway.limits import plan_connections
 from cinderway.routing import (
     USUAL_PENALTIES,
-    Candidate,
     Penalties,
     choose,
     own_subset,
@@ -40,11 +38,6 @@
 SHED_PAUSE_SHARE = 0.5
 SHED_PAUSE_MINIMUM_MS = 2
 SHED_PAUSE_MAXIMUM_MS = 250
-# Loads are shared within a hall only. Of another hall's servers it is assumed that they
-# are at least half as full as the own ones: callers come to all halls at once.
-FAR_LOAD_SHARE = 0.5
-# A server that has just started takes about twice as long for each request.
-COLD_SHARE = 0.5
 
 
 @dataclass
@@ -99,7 +92,12 @@
         attempt = self.evidence.begin(service.row.name, server.row.name, monotonic_ms())
         try:
             answer = await self._send(
-                server, request, attempt, attempt_id, deadline_ms, not is_repeatable
+                server,
+                request,
+                attempt,
+                attempt_id,
+                deadline_ms,
+                is_fresh=not is_repeatable,
             )
             try:
                 exchange = Exchange(answer, server, attempt, attempt.mark_ms)
@@ -126,7 +124,12 @@
         )
         try:
             answer = await self._send(
-                server, request, attempt, self.new_attempt_id(), deadline_ms, False
+                server,
+                request,
+                attempt,
+                self.new_attempt_id(),
+                deadline_ms,
+                is_fresh=False,
             )
             try:
                 self._note_reports(server, attempt, answer, monotonic_ms())
@@ -157,8 +160,10 @@
         attempt: Attempt,
         attempt_id: AttemptId,
         deadline_ms: int,
-        fresh: bool,
+        *,
+        is_fresh: bool,
     ) -> BackendAnswer:
+        """Send over a connection, a new one if `is_fresh`; failures are evidence."""
         self.attempts += 1
         remaining_s = max(deadline_ms - monotonic_ms(), 0) / 1000
         try:
@@ -168,7 +173,7 @@
                     request,
                     attempt_id,
                     deadline_ms,
-                    fresh=fresh,
+                    fresh=is_fresh,
                     expected=server.row.name,
                 )
         except TimeoutError as error:
@@ -186,26 +191,23 @@
             raise
 
     def _note_head(self, service: ServiceState, exchange: Exchange) -> None:
+        """Note what an answer's head says; raise if the request was not run."""
         now_ms = monotonic_ms()
         answer, server = exchange.answer, exchange.server
         self._note_reports(server, exchange.attempt, answer, now_ms)
         if answer.is_misdirected:
             # The address belongs to another server; this one is gone.
             server.is_listed_leaving = True
-            raise CinderwayError(
+            raise _refused(
+                server,
                 ErrorCode.BACKEND_MISDIRECTED,
                 "another server has the address now",
-                step=Step.AWAIT_ANSWER,
-                peer=server.row.address,
             )
         if answer.is_shed:
             self.sheds += 1
             server.pause_until_ms = now_ms + self._shed_pause_ms(service)
-            raise CinderwayError(
-                ErrorCode.BACKEND_SHED,
-                "the backend server shed the request",
-                step=Step.AWAIT_ANSWER,
-                peer=server.row.address,
+            raise _refused(
+                server, ErrorCode.BACKEND_SHED, "the backend server shed the request"
             )
         self.evidence.first_byte(exchange.attempt, answer.status, now_ms)
 
@@ -224,6 +226,7 @@
             self._note_load(server, reported, now_ms)
 
     def _note_send(self, server: ServerState, now_ms: int) -> None:
+        """Count a request at once, before the server's next answer tells of it."""
         if server.tells_load:
             load = server.load_at(now_ms) + 1 / server.row.slots
             self._note_load(server, load, now_ms)
@@ -272,23 +275,12 @@
         penalties: Penalties,
     ) -> ServerState | None:
         subset = self._subset(usable_servers(service))
-        far_load = FAR_LOAD_SHARE * self._own_hall_load(subset, now_ms)
-        candidates = [
-            self._candidate(server, now_ms, far_load)
-            for server, limit in subset
-            if server.in_flight < limit and server.pause_until_ms <= now_ms
-        ]
-        pick = partial(
-            choose,
-            candidates,
-            self.board.data_hall,
-            self.board.rng,
-            penalties=penalties,
-        )
-        chosen = pick(exclude=exclude)
+        own_hall, rng = self.board.data_hall, self.board.rng
+        candidates = free_candidates(subset, own_hall, now_ms)
+        chosen = choose(candidates, own_hall, rng, exclude, penalties)
         if chosen is None and exclude:
             # Every other server was tried already: a second try beats none.
-            chosen = pick()
+            chosen = choose(candidates, own_hall, rng, penalties=penalties)
         return service.servers[chosen.name] if chosen else None
 
     def _subset(self, usable: list[ServerState]) -> list[tuple[ServerState, int]]:
@@ -310,34 +302,6 @@
             if server.row.name in chosen
         ]
 
-    def _own_hall_load(
-        self, subset: list[tuple[ServerState, int]], now_ms: int
-    ) -> float:
-        """Return the mean of what is known of the own hall's servers' loads."""
-        loads = [
-            server.load_at(now_ms)
-            for server, _ in subset
-            if server.row.data_hall == self.board.data_hall
-        ]
-        return sum(loads) / len(loads) if loads else 0.0
-
-    def _candidate(
-        self, server: ServerState, now_ms: int, far_load: float
-    ) -> Candidate:
-        known_load = server.load_at(now_ms)
-        if server.row.data_hall != self.board.data_hall:
-            known_load = max(known_load, far_load)
-        return Candidate(
-            name=server.row.name,
-            data_hall=server.row.data_hall,
-            weight=server.row.weight,
-            slots=server.row.slots,
-            in_flight=server.in_flight,
-            known_load=known_load,
-            suspicion=suspicion_left(server.suspect_until_ms, now_ms),
-            share=server.share * (COLD_SHARE if now_ms < server.warm_until_ms else 1),
-        )
-
     def _next_change_ms(
         self, service: ServiceState, now_ms: int, give_up_at_ms: float
     ) -> float:
@@ -362,18 +326,6 @@
         )
 
 
-def parse_load(text: bytes | None) -> float | None:
-    """Return the share of slots in use, over 1 with a queue; None if not told.
-
-    Read are "running/slots" and "running,waiting,slots".
-    """
-    numbers = re.split(rb"[,/]", text or b"")
-    if len(numbers) not in (2, 3) or not all(part.isdigit() for part in numbers):
-        return None
-    *busy, slots = [int(part) for part in numbers]
-    return sum(busy) / slots if slots else None
-
-
 def usable_servers(service: ServiceState) -> list[ServerState]:
     """Return the servers that may get new work."""
     now_ms = monotonic_ms()
@@ -382,3 +334,8 @@
         for server in service.servers.values()
         if server.takes_work(now_ms) and not server.is_ejected
     ]
+
+
+def _refused(server: ServerState, code: ErrorCode, detail: str) -> CinderwayError:
+    """Return the error for an answer by which a server did not run the request."""
+    return CinderwayError(code, detail, step=Step.AWAIT_ANSWER, peer=server.row.address)
