--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -19,11 +19,12 @@
     ServerStatus as Status,
     VerdictBatch,
 )
-from cinderway.entry._blackboard import Blackboard, ServerState as ServerEntry
+from cinderway.entry._blackboard import Blackboard, ServerState
 from cinderway.judgement import EvidenceLog, Suspicions
 from cinderway.limits import RetryBudget
-from cinderway.table import ServerRow, ServerState, ServiceRow
+from cinderway.table import ServerRow, ServerState as ListedState, ServiceRow
 
+# Of a server's weight, where no verdict says otherwise.
 FULL_SHARE = 1.0
 # Retries that an entry without a control replica may save up.
 LONE_RETRIES = 1.0
@@ -83,7 +84,7 @@
         if state is not None:
             state.suspect_until_ms = max(state.suspect_until_ms, until_ms)
 
-    def _state_of(self, server: ServerName) -> ServerEntry | None:
+    def _state_of(self, server: ServerName) -> ServerState | None:
         registered = self.mirror.servers.get(server)
         if registered is None or registered.service not in self.board.services:
             return None
@@ -125,15 +126,16 @@
             verdicts.services, verdicts.normal_ms, strict=True
         ):
             self.evidence.set_normal(service, normal_ms)
-        found = {line.server: line for line in verdicts.lines}
+        lines = {line.server: line for line in verdicts.lines}
         for service in self.board.services.values():
             for name, server in service.servers.items():
-                line = found.get(name)
+                line = lines.get(name)
                 server.is_ejected = bool(line and line.is_ejected)
                 server.share = line.share if line and line.share else FULL_SHARE
             service.free_slot()
 
     def _refresh(self, now_ms: int) -> None:
+        """Rebuild services and servers from the catalog's copy."""
         sheet = self.mirror.sheet
         rows = {
             entry.name: ServiceRow(
@@ -144,10 +146,10 @@
             for entry in sheet.services
         }
         limits = {entry.name: entry.connection_limit for entry in sheet.services}
-        servers = self._rows_by_service(limits)
+        server_rows = self._rows_by_service(limits)
         known = set(self.board.services)
         self.board.refresh_services(
-            rows, lambda service: servers.get(service, {}), now_ms
+            rows, lambda service: server_rows.get(service, {}), now_ms
         )
         for name in rows.keys() - known:
             self.board.services[name].budget = RetryBudget(
@@ -183,5 +185,5 @@
         address=Address(server.address),
         slots=server.slots,
         connection_limit=connection_limit,
-        state=ServerState.LEAVING if is_leaving else ServerState.ACTIVE,
+        state=ListedState.LEAVING if is_leaving else ListedState.ACTIVE,
     )
