entry: take what an entry reports out of the catalog follower

Observations and loads are sent by CatalogReports; one message is taken in a function of its own. Two log lines now bear the new module's name. Behaviour unchanged otherwise.

--- a/src/cinderway/entry/_catalog_follower.py
+++ b/src/cinderway/entry/_catalog_follower.py
@@ -6,21 +6,18 @@
 """
 
 import logging
-from collections import Counter
 from dataclasses import dataclass, field
 
 import anyio
-import msgspec
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway._ids import Address, ServiceName
+from cinderway._ids import Address
 from cinderway._settings import CatalogEntrySettings
 from cinderway.catalog import (
     CATALOG,
     CatalogHeartbeat,
     CatalogUpdate,
-    EvidenceBatch,
     FindReplicas,
     FollowCatalog,
     ReplicasAnswer,
@@ -32,13 +29,13 @@
 )
 from cinderway.entry._blackboard import ServiceState
 from cinderway.entry._catalog_board import CatalogBoard
+from cinderway.entry._catalog_reports import CatalogReports
 from cinderway.entry._replica_choice import (
     AVOID_MS,
     LEADERLESS_AVOID_MS,
     ReplicaChoice,
 )
-from cinderway.judgement import evidence_from
-from cinderway.wire import Connection, Identity, connect
+from cinderway.wire import Connection, Envelope, Identity, connect
 
 logger = logging.getLogger(__name__)
 
@@ -54,18 +51,14 @@
 RETRY_TIMEOUT_S = 0.25
 # How often an entry that follows another hall's replica looks for one in its own.
 LOOK_HOME_MS = 5_000
-# Between two looks for observations to send, and the time that sending may take.
-REPORT_PAUSE_S = 0.1
-# Good observations are gathered for this long; bad ones go out at the next look.
-GATHER_MS = 500
-# Loads that change within this time are told together.
-LOAD_PAUSE_S = 0.01
 # Takes all verdicts back that are in force.
 NO_VERDICTS = VerdictBatch([], [], [])
 
 
 @dataclass
 class _Asked:
+    """A retry that the replica was asked for, and its answer."""
+
     done: anyio.Event = field(default_factory=anyio.Event)
     is_granted: bool = False
 
@@ -83,7 +76,6 @@
     identity: Identity
     updates: int = 0
     _connection: Connection | None = None
-    _first_requests: Counter[ServiceName] = field(default_factory=Counter)
     _asked: dict[int, _Asked] = field(default_factory=dict)
     _next_call_id: int = 2
 
@@ -94,6 +86,9 @@
             self.settings.control_port,
             self.settings.seeds,
         )
+        self._reports = CatalogReports(
+            self.settings.name, self.settings.data_hall, self.state
+        )
 
     def use_settings(self, settings: CatalogEntrySettings) -> None:
         """Take over what may change while the process runs: the seeds."""
@@ -115,7 +110,7 @@
         if self._connection is None:
             service.budget.earn()
         else:
-            self._first_requests[service.row.name] += 1
+            self._reports.first_requests[service.row.name] += 1
 
     async def spend(self, service: ServiceState) -> bool:
         """Take one retry from the shared budget; False if there is none left."""
@@ -135,6 +130,12 @@
             del self._asked[call_id]
         return asked.is_granted
 
+    def _note_retry_answer(self, call_id: int, is_granted: bool) -> None:
+        asked = self._asked.get(call_id)
+        if asked is not None:
+            asked.is_granted = is_granted
+            asked.done.set()
+
     # Following.
 
     async def _try(self, address: Address) -> bool:
@@ -188,9 +189,9 @@
             service.budget.empty()
         self._connection = connection
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._report, connection)
+            tasks.start_soon(self._reports.send_evidence, connection)
             if self._choice.is_home(address):
-                tasks.start_soon(self._share_loads, connection)
+                tasks.start_soon(self._reports.send_loads, connection)
             try:
                 await self._listen(connection, address)
             except (CinderwayError, TimeoutError) as error:
@@ -205,28 +206,28 @@
         while True:
             with anyio.fail_after(SILENT_LIMIT_S):
                 envelope = await connection.receive()
-            message = envelope.message
             now_ms = monotonic_ms()
-            match message:
-                case CatalogUpdate():
-                    self._install(message, now_ms)
-                case SuspectServers(servers=servers, for_ms=for_ms):
-                    for server, left_ms in zip(servers, for_ms, strict=True):
-                        self.state.suspect(server, now_ms + left_ms)
-                case ServerLoads():
-                    self.state.hear_loads(message, now_ms)
-                case RetryAnswer(is_granted=is_granted):
-                    asked = self._asked.get(envelope.call_id)
-                    if asked is not None:
-                        asked.is_granted = is_granted
-                        asked.done.set()
-                case VerdictBatch():
-                    self.state.apply(message)
-                case CatalogHeartbeat(leader_age_ms=age_ms):
-                    self._hear(address, age_ms, now_ms)
+            self._take(envelope, address, now_ms)
             if now_ms >= look_home_at_ms and not self._choice.is_home(address):
                 return
 
+    def _take(self, envelope: Envelope, address: Address, now_ms: int) -> None:
+        message = envelope.message
+        match message:
+            case CatalogUpdate():
+                self._install(message, now_ms)
+            case SuspectServers(servers=servers, for_ms=for_ms):
+                for server, left_ms in zip(servers, for_ms, strict=True):
+                    self.state.suspect(server, now_ms + left_ms)
+            case ServerLoads():
+                self.state.hear_loads(message, now_ms)
+            case RetryAnswer(is_granted=is_granted):
+                self._note_retry_answer(envelope.call_id, is_granted)
+            case VerdictBatch():
+                self.state.apply(message)
+            case CatalogHeartbeat(leader_age_ms=age_ms):
+                self._hear(address, age_ms, now_ms)
+
     def _install(self, update: CatalogUpdate, now_ms: int) -> None:
         if not self.state.install(update, now_ms):
             return
@@ -252,58 +253,6 @@
             )
         self.state.current_at_ms = max(self.state.current_at_ms, now_ms - age_ms)
 
-    async def _report(self, connection: Connection) -> None:
-        evidence = self.state.evidence
-        reported_at_ms = 0
-        while True:
-            await self.state.activity.wait()
-            with anyio.move_on_after(REPORT_PAUSE_S):
-                await self.state.bad_news.wait()
-            self.state.bad_news = anyio.Event()
-            now_ms = monotonic_ms()
-            evidence.sweep(now_ms)
-            is_due = now_ms - reported_at_ms >= GATHER_MS
-            if not evidence.has_bad and not is_due:
-                continue
-            counts = evidence.take()
-            if counts:
-                reported_at_ms = now_ms
-                await self._send_evidence(connection, counts)
-            elif not self.state.board.in_flight:
-                self.state.activity = anyio.Event()
-
-    async def _share_loads(self, connection: Connection) -> None:
-        """Tell the hall how full servers are."""
-        while True:
-            await self.state.loads_changed.wait()
-            try:
-                with anyio.fail_after(REPORT_PAUSE_S):
-                    await connection.send(self.state.take_loads())
-            except (CinderwayError, TimeoutError) as error:
-                logger.info("loads of servers were not told: %s", str(error) or "slow")
-                await connection.aclose()
-            await anyio.sleep(LOAD_PAUSE_S)
-
-    async def _send_evidence(self, connection: Connection, counts: dict) -> None:
-        found = [
-            evidence_from(service, server, seen)
-            for (service, server), seen in counts.items()
-        ]
-        first, self._first_requests = self._first_requests, Counter()
-        batch = EvidenceBatch(
-            self.settings.name,
-            self.settings.data_hall,
-            msgspec.msgpack.encode(found),
-            list(first),
-            list(first.values()),
-        )
-        try:
-            with anyio.fail_after(REPORT_PAUSE_S):
-                await connection.send(batch)
-        except (CinderwayError, TimeoutError) as error:
-            logger.info("observations of %d servers lost: %s", len(found), error)
-            await connection.aclose()
-
 
 def _avoid_ms(error: Exception) -> int:
     is_leaderless = (
--- /dev/null
+++ b/src/cinderway/entry/_catalog_reports.py
@@ -0,0 +1,91 @@
+"""What an entry tells the control replica that it follows: observations and loads."""
+
+import logging
+from collections import Counter
+
+import anyio
+import msgspec
+
+from cinderway._clock import monotonic_ms
+from cinderway._errors import CinderwayError
+from cinderway._ids import DataHall, EntryName, ServiceName
+from cinderway.catalog import EvidenceBatch
+from cinderway.entry._catalog_board import CatalogBoard
+from cinderway.judgement import evidence_from
+from cinderway.wire import Connection
+
+logger = logging.getLogger(__name__)
+
+# Between two looks for observations to send, and the time that sending may take.
+REPORT_PAUSE_S = 0.1
+# Good observations are gathered for this long; bad ones go out at the next look.
+GATHER_MS = 500
+# Loads that change within this time are told together.
+LOAD_PAUSE_S = 0.01
+
+
+class CatalogReports:
+    """Sends what the entry came to know; what cannot be sent in time is lost.
+
+    `first_requests` counts requests by service since the last batch: the shared retry
+    budget grows with them.
+    """
+
+    def __init__(self, entry: EntryName, data_hall: DataHall, state: CatalogBoard):
+        self._entry = entry
+        self._data_hall = data_hall
+        self._state = state
+        self.first_requests: Counter[ServiceName] = Counter()
+
+    async def send_evidence(self, connection: Connection) -> None:
+        """Report what requests showed of servers, as long as there are requests."""
+        evidence = self._state.evidence
+        reported_at_ms = 0
+        while True:
+            await self._state.activity.wait()
+            with anyio.move_on_after(REPORT_PAUSE_S):
+                await self._state.bad_news.wait()
+            self._state.bad_news = anyio.Event()
+            now_ms = monotonic_ms()
+            evidence.sweep(now_ms)
+            is_due = now_ms - reported_at_ms >= GATHER_MS
+            if not evidence.has_bad and not is_due:
+                continue
+            counts = evidence.take()
+            if counts:
+                reported_at_ms = now_ms
+                await self._send_batch(connection, counts)
+            elif not self._state.board.in_flight:
+                self._state.activity = anyio.Event()
+
+    async def send_loads(self, connection: Connection) -> None:
+        """Tell the hall how full servers are, whenever that changes."""
+        while True:
+            await self._state.loads_changed.wait()
+            try:
+                with anyio.fail_after(REPORT_PAUSE_S):
+                    await connection.send(self._state.take_loads())
+            except (CinderwayError, TimeoutError) as error:
+                logger.info("loads of servers were not told: %s", str(error) or "slow")
+                await connection.aclose()
+            await anyio.sleep(LOAD_PAUSE_S)
+
+    async def _send_batch(self, connection: Connection, counts: dict) -> None:
+        found = [
+            evidence_from(service, server, seen)
+            for (service, server), seen in counts.items()
+        ]
+        first, self.first_requests = self.first_requests, Counter()
+        batch = EvidenceBatch(
+            self._entry,
+            self._data_hall,
+            msgspec.msgpack.encode(found),
+            list(first),
+            list(first.values()),
+        )
+        try:
+            with anyio.fail_after(REPORT_PAUSE_S):
+                await connection.send(batch)
+        except (CinderwayError, TimeoutError) as error:
+            logger.info("observations of %d servers lost: %s", len(found), error)
+            await connection.aclose()
