--- a/src/cinderway/entry/_attempts.py
+++ b/src/cinderway/entry/_attempts.py
@@ -6,7 +6,6 @@
 reached got nothing: another is tried for free, a few times.
 """
 
-import itertools
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -68,33 +67,25 @@
         whose outcome is NOT_RUN only if no server can have run the request.
         """
         self.budget.earn(service)
-        failed: WholeAnswer | None = None
-        may_have_run = False
-        unreached = 0
-        for rounds in itertools.count(1):
+        tries = _Tries(request)
+        while True:
+            tries.rounds += 1
             try:
                 answer = await self._raced(service, request, is_repeatable)
             except CinderwayError as error:
-                outcome = outcome_of_attempt(error)
-                may_have_run = may_have_run or outcome is not Resolution.NOT_RUN
-                unreached += error.step is Step.CONNECT
-                has_attempts = _has_attempts(request, rounds, unreached)
-                is_retried = await self.may_retry(
-                    service, error, outcome, is_repeatable, has_attempts
-                )
-                if is_retried:
+                outcome = tries.note_failure(error)
+                if await self.may_retry(
+                    service, error, outcome, is_repeatable, tries.has_more
+                ):
                     continue
-                if failed is not None:
-                    return failed
-                outcome = Resolution.UNKNOWN if may_have_run else outcome
-                raise OutcomeError(error, outcome) from error
+                if tries.bad_answer is not None:
+                    return tries.bad_answer
+                raise OutcomeError(error, tries.outcome) from error
             if answer.status < SERVER_ERROR or not is_repeatable:
                 return answer
-            failed, may_have_run = answer, True
-            has_attempts = _has_attempts(request, rounds, unreached)
-            if not has_attempts or not await self.spend(service):
-                return failed
-        raise AssertionError("the loop ends by return or raise")
+            tries.note_bad_answer(answer)
+            if not tries.has_more or not await self.spend(service):
+                return answer
 
     async def _one_whole(
         self,
@@ -172,7 +163,37 @@
         return True
 
 
-def _has_attempts(request: CallerRequest, rounds: int, unreached: int) -> bool:
-    if unreached > UNREACHED_LIMIT:
-        return False
-    return max(rounds, len(request.tried)) - unreached < request.server_limit
+@dataclass
+class _Tries:
+    """What became of one request so far."""
+
+    request: CallerRequest
+    rounds: int = 0
+    unreached: int = 0
+    may_have_run: bool = False
+    bad_answer: WholeAnswer | None = None
+
+    def note_failure(self, error: CinderwayError) -> Resolution:
+        """Note an attempt without an answer; return what it means by itself."""
+        outcome = outcome_of_attempt(error)
+        self.may_have_run = self.may_have_run or outcome is not Resolution.NOT_RUN
+        self.unreached += error.step is Step.CONNECT
+        return outcome
+
+    def note_bad_answer(self, answer: WholeAnswer) -> None:
+        """Note a server's answer of 5xx."""
+        self.bad_answer = answer
+        self.may_have_run = True
+
+    @property
+    def outcome(self) -> Resolution:
+        """What all attempts together mean."""
+        return Resolution.UNKNOWN if self.may_have_run else Resolution.NOT_RUN
+
+    @property
+    def has_more(self) -> bool:
+        """Whether the request may reach another server."""
+        if self.unreached > UNREACHED_LIMIT:
+            return False
+        reached = max(self.rounds, len(self.request.tried)) - self.unreached
+        return reached < self.request.server_limit
--- a/src/cinderway/entry/_route_handler.py
+++ b/src/cinderway/entry/_route_handler.py
@@ -14,12 +14,13 @@
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import AttemptId, CallerName, ServiceName
 from cinderway._operators import Metrics
-from cinderway.catalog import RouteKind, RouteRow, pick_service
+from cinderway.catalog import RouteRow, pick_service
 from cinderway.entry._answers import problem_answer
 from cinderway.entry._attempts import Attempts
 from cinderway.entry._backends import HeaderNames
 from cinderway.entry._catalog_board import CatalogBoard
 from cinderway.entry._outcomes import OutcomeError
+from cinderway.entry._policies import penalties_of, retry_after_s
 from cinderway.entry._reply import Reply, Send
 from cinderway.entry._requests import (
     CallerLeftError,
@@ -29,19 +30,11 @@
     read_body,
 )
 from cinderway.ledger import Resolution
-from cinderway.routing import Penalties
 
 logger = logging.getLogger(__name__)
 
 Receive = Callable[[], Awaitable[dict]]
 
-# Spread, so that callers told to come back do not come together.
-RETRY_AFTER_MINIMUM_S = 0.2
-RETRY_AFTER_SPREAD_S = 0.4
-# A server that shed a request may take the next one: slots come free within a tenth of
-# a second or two, and a caller that is back by then still gets its answer in time.
-SHED_RETRY_AFTER_MINIMUM_S = 0.1
-SHED_RETRY_AFTER_SPREAD_S = 0.2
 # Servers that one request may reach where its route does not say.
 DEFAULT_SERVER_LIMIT = 2
 # Several times the way to a caller; small beside any deadline of a second or more.
@@ -50,13 +43,6 @@
 # caller who would give up sooner is told to come back while it still can.
 SHEET_WAIT_MS = 700
 SHEET_WAIT_SHARE = 0.25
-# A repeatable request that fails goes to another server at once. For one that cannot be
-# sent again a failure is final, while waiting for a slot is not.
-REPEATABLE_PENALTIES = Penalties(other_hall=0.7, suspect=1.5)
-ONCE_PENALTIES = Penalties(other_hall=0.7, suspect=2.0)
-# A large answer from another hall costs more than a long wait for one from the own,
-# and more than a second try.
-DOWNLOAD_PENALTIES = Penalties(other_hall=2.0, suspect=1.5)
 
 
 @dataclass
@@ -94,7 +80,7 @@
             raise
         finally:
             board.in_flight -= 1
-            self._note(served, reply)
+            self._note_end(served, reply)
 
     async def _refuse(
         self, reply: Reply, error: CinderwayError, outcome: Resolution
@@ -112,8 +98,19 @@
         # Another sheet may have come in the meantime: its services are the ones known.
         served.route = route = self._route_of(scope)
         served.service = pick_service(route, self.state.board.rng)
+        served.request = self._request_of(scope, route, served, deadline_ms, body)
+        await self._attempt(route, served.service, served.request, receive, reply)
+
+    def _request_of(
+        self,
+        scope: dict,
+        route: RouteRow,
+        served: "_Served",
+        deadline_ms: int,
+        body: bytes,
+    ) -> CallerRequest:
         attempt_id = served.attempt_id
-        served.request = request = CallerRequest(
+        return CallerRequest(
             method=scope["method"],
             path=scope["path"],
             headers=scope["headers"],
@@ -125,7 +122,6 @@
             server_limit=route.server_limit or DEFAULT_SERVER_LIMIT,
             penalties=penalties_of(route.kind),
         )
-        await self._attempt(route, served.service, request, receive, reply)
 
     async def _wait_for_sheet(self, scope: dict, now_ms: int) -> None:
         if self.state.routes is not None:
@@ -201,7 +197,8 @@
         if reply.first_byte_ms is None:
             raise CallerLeftError
 
-    def _note(self, served: "_Served", reply: Reply) -> None:
+    def _note_end(self, served: "_Served", reply: Reply) -> None:
+        """Count the request, and write its log line."""
         now_ms = monotonic_ms()
         duration_ms = now_ms - served.started_at_ms
         route = served.route.name if served.route else "none"
@@ -224,26 +221,6 @@
         )
 
 
-def retry_after_s(code: ErrorCode, spread: float) -> float:
-    """Return when a refused caller is to come back; `spread` is from 0 to 1."""
-    if code is ErrorCode.BACKEND_SHED:
-        after_s = SHED_RETRY_AFTER_MINIMUM_S + SHED_RETRY_AFTER_SPREAD_S * spread
-    else:
-        after_s = RETRY_AFTER_MINIMUM_S + RETRY_AFTER_SPREAD_S * spread
-    return round(after_s, 2)
-
-
-def penalties_of(kind: RouteKind) -> Penalties:
-    """Return what counts against a server that is to get a route's requests."""
-    match kind:
-        case RouteKind.DOWNLOAD:
-            return DOWNLOAD_PENALTIES
-        case RouteKind.REPEATABLE:
-            return REPEATABLE_PENALTIES
-        case RouteKind.ONCE:
-            return ONCE_PENALTIES
-
-
 class _Served:
     """What became of one request, for its log line."""
 
