judgement, control: name steps, drop doubled logic

Comparisons of tallies get a module; active reporters and verdict lines are each gathered in one place. tools/guards.py follows a rename. Behaviour unchanged.

--- a/src/cinderway/control/_hall_assessor.py
+++ b/src/cinderway/control/_hall_assessor.py
@@ -122,8 +122,8 @@
         services = sorted(normal_ms)
         times_ms = [normal_ms[service] for service in services]
         return {
-            hall: VerdictBatch(found, times_ms, services)
-            for hall, found in lines.items()
+            hall: VerdictBatch(lines_of_hall, times_ms, services)
+            for hall, lines_of_hall in lines.items()
         }
 
     def _decide_service(
@@ -134,29 +134,27 @@
         lines: dict[DataHall, list[VerdictLine]],
         now_ms: int,
     ) -> None:
+        """Add what is to be said of one service's servers to each hall's lines."""
         row = self._row(service)
         servers = _servers_of(catalog, service)
         judge.decide(row, servers.keys(), now_ms)
         records = judge.records()
         suspected = [r for r in records if r.standing is not Standing.HEALTHY]
+        healthy = [r for r in records if r.standing is Standing.HEALTHY]
         permitted = _permitted(row, servers, suspected)
         for record in suspected:
             is_ejected = record.name in permitted
-            self._note(service, record, is_ejected)
+            self._note_ejection(service, record, is_ejected)
             share = judge.share(record, row, now_ms)
             line = _line_of(service, record, is_ejected, share)
-            for hall in record.halls or lines:
-                if hall in lines:
-                    lines[hall].append(line)
-        for record in records:
-            if record.standing is Standing.HEALTHY:
-                self._note(service, record, is_ejected=False)
-                share = judge.pace_share(record, now_ms)
-                self._note_pace(service, record, share)
-                if share < 1:
-                    line = VerdictLine(service, record.name, False, share, SLOW, 0.0)
-                    for lines_of_hall in lines.values():
-                        lines_of_hall.append(line)
+            _add_line(lines, line, record.halls)
+        for record in healthy:
+            self._note_ejection(service, record, is_ejected=False)
+            share = judge.pace_share(record, now_ms)
+            self._note_pace(service, record, share)
+            if share < 1:
+                line = VerdictLine(service, record.name, False, share, SLOW, 0.0)
+                _add_line(lines, line, halls=())
 
     def _note_pace(
         self, service: ServiceName, record: ServerRecord, share: float
@@ -171,7 +169,7 @@
             self._slow.remove(server)
             logger.info("no longer slow %s/%s", service, server)
 
-    def _note(
+    def _note_ejection(
         self, service: ServiceName, record: ServerRecord, is_ejected: bool
     ) -> None:
         """Log an ejection when it begins and when it ends."""
@@ -252,3 +250,14 @@
         record.reason,
         round(record.score, 1),
     )
+
+
+def _add_line(
+    lines: dict[DataHall, list[VerdictLine]],
+    line: VerdictLine,
+    halls: Collection[DataHall],
+) -> None:
+    """Add a line for some halls; for all of them if none is named."""
+    for hall in halls or lines:
+        if hall in lines:
+            lines[hall].append(line)
--- a/src/cinderway/judgement/_judge.py
+++ b/src/cinderway/judgement/_judge.py
@@ -10,12 +10,12 @@
     a server that starts cold       RECOVERING, with a growing share
 """
 
-import math
 import statistics
 from collections.abc import Collection
 from dataclasses import dataclass
 
 from cinderway._ids import DataHall, EntryName, ServerName
+from cinderway.judgement._comparison import better_half_is_well, contradicts
 from cinderway.judgement._conversation import ServerEvidence, Standing
 from cinderway.judgement._record import Observed, ServerRecord, Tally, is_out
 from cinderway.judgement._sequential import (
@@ -31,14 +31,11 @@
 DRAIN_VALID_MS = 60_000
 # Peers that fail more often than this are in trouble themselves.
 PEERS_WELL_RATE = 0.2
-BETTER_HALF_WELL_RATE = 0.1
 PEERS_TO_SEE = 3
-PEER_OBSERVATIONS = 4
 # With peers in trouble too, a crossing must last this long to count, and is dropped
 # after the second time.
 WIDE_TROUBLE_WAIT_MS = 1_500
 WIDE_TROUBLE_GIVE_UP_MS = 5_000
-CHANCE = 0.03
 # A hall that is cut off from a server sees nearly everything fail there.
 CUT_RATE = 0.75
 OTHERS_NEEDED = 3
@@ -64,8 +61,9 @@
 # twice the usual one by chance only once in some hundred.
 SLOW_PACE_COUNT = 4
 SLOW_PACE_FACTOR = 2.0
-# Of a slow server's weight: half where it takes twice the usual time, or a quarter.
-SLOW_SHARES = (0.5, 0.25)
+# Of its weight, for a server that takes twice the usual time, and four times.
+SLOW_SHARE = 0.5
+VERY_SLOW_SHARE = 0.25
 CALLERS_FOR_A_PROBE = 4
 
 
@@ -118,7 +116,8 @@
         if is_out(record.standing) and (not record.halls or hall in record.halls):
             return
         weights = weights_for(self._peer_rate())
-        cap = reporter_cap(THRESHOLDS[service.bias], self._active(now_ms))
+        active_count = len(self._active_reporters(now_ms))
+        cap = reporter_cap(THRESHOLDS[service.bias], active_count)
         for key in (None, hall):
             record.window(key).add(reporter, good, bad, weights, cap, now_ms)
 
@@ -182,7 +181,8 @@
         factor = record.pace.first / record.pace.second / self.normal_ms
         if factor < SLOW_PACE_FACTOR:
             return 1.0
-        return SLOW_SHARES[factor >= SLOW_PACE_FACTOR**2]
+        is_very_slow = factor >= SLOW_PACE_FACTOR**2
+        return VERY_SLOW_SHARE if is_very_slow else SLOW_SHARE
 
     # Standings.
 
@@ -284,17 +284,13 @@
         others = sum((tallies[seen] for seen in tallies if seen != failing), Tally())
         if others.count < OTHERS_NEEDED and now_ms - since_ms < OTHERS_WAIT_MS:
             return None if self._has_other_halls(failing, now_ms) else frozenset()
-        if not _contradicts(others, tallies[failing]):
+        if not contradicts(others, tallies[failing]):
             return frozenset()
         cut_off = {seen for seen in tallies if tallies[seen].bad_share >= CUT_RATE}
         return frozenset(cut_off) if hall is None or hall in cut_off else None
 
     def _has_other_halls(self, hall: DataHall, now_ms: int) -> bool:
-        oldest_ms = now_ms - REPORTER_ACTIVE_MS
-        return any(
-            reporter.hall != hall and reporter.heard_at_ms >= oldest_ms
-            for reporter in self._reporters.values()
-        )
+        return any(r.hall != hall for r in self._active_reporters(now_ms))
 
     def _peers_do_well(
         self,
@@ -324,7 +320,7 @@
         if age_ms > WIDE_TROUBLE_GIVE_UP_MS:
             window.reset()
             return False
-        return age_ms >= WIDE_TROUBLE_WAIT_MS and _better_half_is_well(seen)
+        return age_ms >= WIDE_TROUBLE_WAIT_MS and better_half_is_well(seen)
 
     def _drop_sick_reporters(self, window: Window, now_ms: int) -> None:
         since_ms = window.began_at_ms - SICK_LOOKBACK_MS
@@ -352,9 +348,9 @@
 
     # References.
 
-    def _active(self, now_ms: int) -> int:
+    def _active_reporters(self, now_ms: int) -> list[Reporter]:
         oldest_ms = now_ms - REPORTER_ACTIVE_MS
-        return sum(r.heard_at_ms >= oldest_ms for r in self._reporters.values())
+        return [r for r in self._reporters.values() if r.heard_at_ms >= oldest_ms]
 
     def _peer_rate(self) -> float:
         """The lower quartile of the servers' recent failure rates."""
@@ -373,33 +369,3 @@
         ]
         if means_ms:
             self.normal_ms = statistics.median_low(means_ms)
-
-
-def _contradicts(others: Tally, failing: Tally) -> bool:
-    """Whether other halls' observations do not fit what the failing hall sees.
-
-    They contradict if they are all good, or could hardly have had so few bad ones by
-    chance. A server that fails only a part of its requests may thus be ejected for one
-    hall first; `_widen` then needs little for the others.
-    """
-    if not others.bad:
-        return others.good > 0
-    rate = (failing.bad + 0.5) / (failing.count + 1)
-    return _at_most(others.bad, others.count, rate) < CHANCE
-
-
-def _at_most(bad: int, count: int, rate: float) -> float:
-    """Probability of at most `bad` bad ones among `count` at a rate."""
-    return sum(
-        math.comb(count, k) * rate**k * (1 - rate) ** (count - k)
-        for k in range(bad + 1)
-    )
-
-
-def _better_half_is_well(seen: list[Tally]) -> bool:
-    observed = [tally for tally in seen if tally.count >= PEER_OBSERVATIONS]
-    observed.sort(key=lambda tally: tally.bad_share)
-    half = observed[: max(len(observed) // 2, 1)]
-    if len(observed) * 2 < len(seen):
-        return False
-    return sum(half, Tally()).bad_share <= BETTER_HALF_WELL_RATE
--- a/src/cinderway/judgement/_suspicion.py
+++ b/src/cinderway/judgement/_suspicion.py
@@ -35,9 +35,9 @@
         Failures right after another one do not renew it: they are mostly requests
         that were under way.
         """
-        known_ms = self._until_ms.get(server)
+        known_until_ms = self._until_ms.get(server)
         until_ms = now_ms + FADES_MS
-        if known_ms is not None and until_ms < known_ms + UNDER_WAY_MS:
+        if known_until_ms is not None and until_ms < known_until_ms + UNDER_WAY_MS:
             return None
         self._until_ms[server] = until_ms
         return until_ms
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -242,7 +242,7 @@
     Guard(
         "a hall that sees the server well is not ejected for",
         "judgement/_judge.py",
-        "        if not _contradicts(others, tallies[failing]):\n"
+        "        if not contradicts(others, tallies[failing]):\n"
         "            return frozenset()\n",
         "        return frozenset()\n",
         "tests.judgement.test_judge",
