--- a/src/cinderway/routing/_choose.py
+++ b/src/cinderway/routing/_choose.py
@@ -13,6 +13,10 @@
 FULL_WEIGHT = 100
 # One that has just failed a request comes after another hall's.
 SUSPECT_PENALTY = 1.5
+# Small beside one request's share of the 3 or 4 slots that are common.
+TIE_BREAK = 0.01
+# Keeps a server without weight last instead of dividing by zero.
+LEAST_WEIGHT = 0.001
 
 
 @dataclass(frozen=True)
@@ -69,7 +73,7 @@
         penalty = penalties.suspect * candidate.suspicion
         if candidate.data_hall != own_hall:
             penalty += penalties.other_hall
-        score = _score(candidate, penalty) + rng.random() * 0.01
+        score = _score(candidate, penalty) + rng.random() * TIE_BREAK
         if best is None or score < best_score:
             best, best_score = candidate, score
     return best
@@ -79,7 +83,7 @@
     own_load = (candidate.in_flight + 1) / candidate.slots
     load = max(own_load, candidate.known_load + 1 / candidate.slots)
     effective_weight = candidate.weight / FULL_WEIGHT * candidate.share
-    return (load + penalty) / max(effective_weight, 0.001)
+    return (load + penalty) / max(effective_weight, LEAST_WEIGHT)
 
 
 def rank_of(first: str, second: str) -> int:
