control, launch: take commands to the leader out of the service

Commands and calls to other replicas get a module; the test of may_take_commands imports it there. A comment that still gave a suspicion's old length says why instead. Behaviour unchanged.

--- a/src/cinderway/_launch.py
+++ b/src/cinderway/_launch.py
@@ -92,15 +92,20 @@
     return ROLES[name]
 
 
+def _environment_of(role: Role) -> dict[str, str | None]:
+    """Return what the environment says of each of a role's settings."""
+    return {
+        name: os.environ.get(environment_variable_of(name))
+        for name in settings_of(role.settings)
+    }
+
+
 def main(arguments: list[str]) -> int:
     """Run the role that the first argument names; return the exit code."""
     try:
         role = _role_of(arguments[0] if arguments else "")
-        given = {
-            name: os.environ.get(environment_variable_of(name))
-            for name in settings_of(role.settings)
-        }
-        run_daemon(role.run, parse_settings(role.settings, with_settings_file(given)))
+        given = with_settings_file(_environment_of(role))
+        run_daemon(role.run, parse_settings(role.settings, given))
     except CinderwayError as error:
         print(f"cinderway: {error}", file=sys.stderr)
         return exit_code_of(error)
--- a/src/cinderway/control/_catalog_daemon.py
+++ b/src/cinderway/control/_catalog_daemon.py
@@ -21,6 +21,7 @@
 from cinderway.catalog import AnnounceReplica, CatalogMachine
 from cinderway.control._catalog_http import CatalogHttp
 from cinderway.control._catalog_service import CatalogService
+from cinderway.control._commands import Commands, ReplicaCalls
 from cinderway.control._hall_assessor import HallAssessor, JudgementRules
 from cinderway.control._retry_pools import RetryPools
 from cinderway.replication import DataFolder, Node, NodeSettings, Timing
@@ -57,12 +58,13 @@
     node = Node(folder, machine, _node_settings(settings), identity)
     own = AnnounceReplica(settings.listen, settings.data_hall, settings.http_listen)
     rules = JudgementRules(settings.bias, settings.floor_percent)
+    calls = ReplicaCalls(identity)
     service = CatalogService(
         node,
         machine,
-        identity,
         own,
-        least_voters=2 * settings.tolerated_losses + 1,
+        calls,
+        Commands(node, machine, calls, 2 * settings.tolerated_losses + 1),
         assessor=HallAssessor(rules),
         retry_pools=RetryPools(settings.retry_percent, settings.retry_burst),
     )
--- a/src/cinderway/control/_catalog_http.py
+++ b/src/cinderway/control/_catalog_http.py
@@ -114,7 +114,7 @@
         body = await _read_body(receive, SHEET_LIMIT_BYTES)
         sheet = decode_sheet(body)
         held = self.service.machine.sheet
-        await self.service.submit(InstallSheet(body))
+        await self.service.commands.submit(InstallSheet(body))
         logger.info(
             "sheet version %d acknowledged; held before: %s",
             sheet.version,
@@ -148,7 +148,7 @@
         server = _server_from(server_id, body)
         registry = self.service.machine.registry
         if not registry.change_of(server).is_empty:
-            await self.service.submit(Register(server))
+            await self.service.commands.submit(Register(server))
             logger.info(
                 "backend server %s of %s at %s is %s",
                 server_id,
@@ -160,7 +160,7 @@
 
     async def _delete_server(self, server_id: ServerName) -> Answer:
         if server_id not in self.service.machine.registry.gone:
-            await self.service.submit(Deregister(server_id))
+            await self.service.commands.submit(Deregister(server_id))
             logger.info("backend server %s is gone", server_id)
         return Answer(OK)
 
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -10,14 +10,13 @@
 import anyio
 
 from cinderway._clock import monotonic_ms
-from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._errors import CinderwayError
 from cinderway._ids import Address, EntryName, ServerName, ServiceName
 from cinderway.catalog import (
     CATALOG,
     AnnounceReplica,
     CatalogHeartbeat,
     CatalogMachine,
-    Command,
     EvidenceBatch,
     FindReplicas,
     FollowCatalog,
@@ -27,8 +26,8 @@
     SubmitCommand,
     SuspectServers,
     TakeRetry,
-    encode_command,
 )
+from cinderway.control._commands import Commands, ReplicaCalls
 from cinderway.control._follower import Follower
 from cinderway.control._hall_assessor import HallAssessor
 from cinderway.control._retry_pools import RetryPools
@@ -36,19 +35,14 @@
 from cinderway.wire import (
     Connection,
     Done,
-    Failure,
-    Identity,
     Message,
     Route,
-    RpcClient,
     failure_from,
 )
 
 logger = logging.getLogger(__name__)
 
-# An operator's or server's call waits a second for its answer; then it goes elsewhere.
-PROPOSE_TIMEOUT_S = 2.5
-# A first suspicion lasts 400 ms; told much later it is worth little.
+# A suspicion fades from its first moment on; told much later it is worth little.
 TELL_TIMEOUT_S = 0.3
 # Between two tries to announce this replica.
 ANNOUNCE_PAUSE_S = 0.5
@@ -61,31 +55,20 @@
 MAXIMUM_LEADER_AGE_MS = 2**31
 
 
-def may_take_commands(voters: int, least_voters: int, has_sheet: bool) -> bool:
-    """Whether a group may acknowledge changes.
-
-    While it forms, only once enough replicas vote: with fewer, losing as many disks as
-    the fleet is to bear could lose what is acknowledged. Later, fewer vote only while a
-    lost disk is being replaced, and that one counts among those to bear.
-    """
-    return has_sheet or voters >= least_voters
-
-
 @dataclass
 class CatalogService:
-    """Hands out the catalog, takes evidence, and brings commands to the leader."""
+    """Hands out the catalog, takes evidence, grants retries, passes loads on."""
 
     node: Node
     machine: CatalogMachine
-    identity: Identity
     own: AnnounceReplica
-    least_voters: int
+    calls: ReplicaCalls
+    commands: Commands
     assessor: HallAssessor
     retry_pools: RetryPools
     followers: set[Follower] = field(default_factory=set)
     _loads: dict[ServerName, float] = field(default_factory=dict)
     _loads_changed: anyio.Event = field(default_factory=anyio.Event)
-    _clients: dict[Address, RpcClient] = field(default_factory=dict)
     _tasks: anyio.abc.TaskGroup | None = None
 
     @property
@@ -97,10 +80,11 @@
         """Run until cancelled."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
+            self.calls.start(tasks)
             tasks.start_soon(self._announce)
             tasks.start_soon(self._assess)
             tasks.start_soon(self._share_loads)
-            await self._watch()
+            await self._wake_followers()
 
     def leader_age_ms(self) -> int:
         """How old what this replica knows of the group may be."""
@@ -112,47 +96,6 @@
         age_ms = monotonic_ms() - core.leader_heard_at_ms
         return min(max(age_ms, 0), MAXIMUM_LEADER_AGE_MS)
 
-    async def submit(self, command: Command) -> None:
-        """Replicate a command, here or by the leader; return once it is committed.
-
-        Raises CinderwayError; with any code but NOT_LEADER and GROUP_TOO_SMALL the
-        command may still take effect.
-        """
-        data = encode_command(command)
-        if self.node.core.is_leader:
-            await self._propose(data)
-            return
-        leader = self.node.leader_address
-        if leader is None:
-            raise CinderwayError(
-                ErrorCode.NO_QUORUM, "no leader is known here", step=Step.PROPOSE
-            )
-        answer = await self._client_of(leader).call(
-            SubmitCommand(data), PROPOSE_TIMEOUT_S
-        )
-        if isinstance(answer, Failure):
-            raise answer.error(leader)
-
-    async def _propose(self, data: bytes) -> None:
-        voters = len(self.node.core.membership.voters)
-        if not may_take_commands(voters, self.least_voters, self.machine.has_sheet):
-            raise CinderwayError(
-                ErrorCode.GROUP_TOO_SMALL,
-                f"{voters} voters; {self.least_voters} are needed",
-                step=Step.PROPOSE,
-            )
-        await self.node.propose(data, PROPOSE_TIMEOUT_S)
-
-    def _client_of(self, address: Address) -> RpcClient:
-        client = self._clients.get(address)
-        if client is None:
-            client = RpcClient(address, CATALOG, self.identity)
-            self._clients[address] = client
-            self._tasks.start_soon(client.run)
-        return client
-
-    # Entries.
-
     async def _serve(self, connection: Connection, name: str) -> None:
         async with anyio.create_task_group() as tasks:
             try:
@@ -162,7 +105,7 @@
                         case FollowCatalog() as request:
                             tasks.start_soon(self._feed, connection, request)
                         case EvidenceBatch() as batch:
-                            self._take(batch)
+                            self._take_evidence(batch)
                         case ServerLoads(servers=servers, loads=loads):
                             self._loads.update(zip(servers, loads, strict=True))
                             self._loads_changed.set()
@@ -174,7 +117,7 @@
                 logger.debug("a conversation with %s ended: %s", name, error)
                 tasks.cancel_scope.cancel()
 
-    def _take(self, batch: EvidenceBatch) -> None:
+    def _take_evidence(self, batch: EvidenceBatch) -> None:
         now_ms = monotonic_ms()
         self.assessor.take(batch, now_ms)
         for service, count in zip(batch.services, batch.first_requests, strict=True):
@@ -200,7 +143,7 @@
 
     async def _tell_replica(self, address: Address, suspects: SuspectServers) -> None:
         try:
-            await self._client_of(address).call(suspects, TELL_TIMEOUT_S)
+            await self.calls.call(address, suspects, TELL_TIMEOUT_S)
         except CinderwayError as error:
             logger.debug("a replica was not told of suspects: %s", error)
 
@@ -219,7 +162,7 @@
                 case FindReplicas():
                     return ReplicasAnswer(self.machine.replica_addresses())
                 case SubmitCommand(data=data):
-                    await self._propose(data)
+                    await self.commands.propose(data)
                     return Done()
                 case SuspectServers() as suspects:
                     self._tell_entries(suspects)
@@ -260,13 +203,15 @@
             self.leader_age_ms(), self.machine.revision, len(self.followers)
         )
 
-    async def _watch(self) -> None:
+    async def _wake_followers(self) -> None:
+        """Let followers look for updates whenever an entry of the log is applied."""
         while True:
             await self.node.wait_applied()
             for follower in self.followers:
                 follower.wake()
 
     async def _assess(self) -> None:
+        """Tell the entries of each hall its verdicts, as observations come in."""
         while True:
             await anyio.sleep(ASSESS_PAUSE_S)
             if not self.assessor.has_news(monotonic_ms()):
@@ -295,6 +240,6 @@
             if self.node.core.replica_id not in self.node.core.membership.voters:
                 continue
             try:
-                await self.submit(self.own)
+                await self.commands.submit(self.own)
             except CinderwayError as error:
                 logger.debug("not announced yet: %s", error)
--- a/tests/control/test_catalog_service.py
+++ b/tests/control/test_catalog_service.py
@@ -1,6 +1,6 @@
 import unittest
 
-from cinderway.control._catalog_service import may_take_commands
+from cinderway.control._commands import may_take_commands
 
 
 class CommandsTests(unittest.TestCase):
