entry: second tries go out after the slowest tenth of a service's own times

A second try of a repeatable request went out after five times the mean, 1,050 ms for reads whose route ends at 1,000 ms: never. Change: entries report the times of answers, a replica keeps a histogram of the last 10 to 20 s for each service of its hall, and tells entries the quantiles; a second try waits for the 90th percentile, or so long that its answer can still come within the route's objective.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -35,8 +35,8 @@
     def sweep(self, now_ms):
         """Count nothing early."""
 
-    def slow_after_ms(self, service):
-        """Call nothing slow."""
+    def late_after_ms(self, service):
+        """Call nothing late."""
         return float("inf")
 
 
--- a/src/cinderway/catalog/_conversation.py
+++ b/src/cinderway/catalog/_conversation.py
@@ -97,15 +97,27 @@
     score: float
 
 
+class ServicePace(Message, frozen=True):
+    """How long a service takes to answer, as the own hall's entries see it.
+
+    Half of the answers come within `usual_ms`, nine tenths within `slow_ms`, and
+    nearly all within `late_ms`.
+    """
+
+    service: ServiceName
+    usual_ms: float
+    slow_ms: float
+    late_ms: float
+
+
 class VerdictBatch(Message, frozen=True):
-    """All servers that are not plainly healthy, and the services' usual times.
+    """All servers that are not plainly healthy, and how long services take.
 
     It holds until the next batch or until the conversation ends.
     """
 
     lines: list[VerdictLine]
-    normal_ms: list[float]
-    services: list[ServiceName]
+    paces: list[ServicePace]
 
 
 class SuspectServers(Message, frozen=True):
--- a/src/cinderway/control/_hall_assessor.py
+++ b/src/cinderway/control/_hall_assessor.py
@@ -17,12 +17,15 @@
     EvidenceBatch,
     RegisteredServer,
     ServerStatus,
+    ServicePace,
     SuspectServers,
     VerdictBatch,
     VerdictLine,
 )
+from cinderway.control._answer_times import AnswerTimes
 from cinderway.judgement import (
     Capacity,
+    Pace,
     ServerEvidence,
     ServerRecord,
     ServiceJudge,
@@ -38,8 +41,8 @@
 
 # A verdict changes with time too: ejections end, shares grow.
 REVIEW_MS = 500
-# Factor by which a service's usual time must move before entries are told anew.
-NORMAL_STEP = 1.25
+# Factor by which one of a service's times must move before entries are told anew.
+PACE_STEP = 1.25
 # Long enough for a server to fill its caches, short beside a failure's cost.
 SLOW_START_MS = 2_000
 # The reason of a verdict that only takes weight away.
@@ -65,7 +68,8 @@
         self._halls: dict[EntryName, DataHall] = {}
         self._has_evidence = False
         self._decided_at_ms = 0
-        self._said_normal_ms: dict[ServiceName, float] = {}
+        self._times: dict[ServiceName, AnswerTimes] = {}
+        self._said_paces: dict[ServiceName, ServicePace] = {}
         self._ejected: set[ServerName] = set()
         self._slow: set[ServerName] = set()
         self._suspicions = Suspicions()
@@ -83,6 +87,8 @@
                 self._row(evidence.service),
                 now_ms,
             )
+            times = self._times.setdefault(evidence.service, AnswerTimes(now_ms))
+            times.add(evidence.answer_times_ms, now_ms)
             if evidence.error or evidence.unreachable or evidence.cut:
                 self._suspect(evidence.server, now_ms)
         self._has_evidence = True
@@ -118,11 +124,9 @@
         self._slow &= catalog.registry.servers.keys()
         for service, judge in self._judges.items():
             self._decide_service(catalog, service, judge, lines, now_ms)
-        normal_ms = self._normal_ms()
-        services = sorted(normal_ms)
-        times_ms = [normal_ms[service] for service in services]
+        paces = self._paces_to_tell()
         return {
-            hall: VerdictBatch(lines_of_hall, times_ms, services)
+            hall: VerdictBatch(lines_of_hall, paces)
             for hall, lines_of_hall in lines.items()
         }
 
@@ -188,16 +192,19 @@
             self._ejected.remove(server)
             logger.info("took back %s/%s", service, server)
 
-    def _normal_ms(self) -> dict[ServiceName, float]:
-        """Usual times by service, told anew only when they move by a good part."""
+    def _paces_to_tell(self) -> list[ServicePace]:
+        """How long services take, told anew only when that moves by a good part."""
         for service, judge in self._judges.items():
-            said_ms = self._said_normal_ms.get(service, 0.0)
-            is_moved = judge.normal_ms > said_ms * NORMAL_STEP or (
-                judge.normal_ms < said_ms / NORMAL_STEP
-            )
-            if judge.normal_ms and is_moved:
-                self._said_normal_ms[service] = round(judge.normal_ms, 1)
-        return self._said_normal_ms
+            times = self._times.get(service)
+            found = times.quantiles() if times else None
+            if found is None or not judge.normal_ms:
+                continue
+            late_ms = Pace.from_normal(judge.normal_ms).late_ms
+            pace = ServicePace(service, found.usual_ms, found.slow_ms, late_ms)
+            said = self._said_paces.get(service)
+            if said is None or _has_moved(said, pace):
+                self._said_paces[service] = pace
+        return [self._said_paces[service] for service in sorted(self._said_paces)]
 
     def _row(self, service: ServiceName) -> ServiceRow:
         return ServiceRow(
@@ -208,6 +215,17 @@
         )
 
 
+def _has_moved(said: ServicePace, pace: ServicePace) -> bool:
+    return any(
+        now_ms > said_ms * PACE_STEP or now_ms < said_ms / PACE_STEP
+        for said_ms, now_ms in (
+            (said.usual_ms, pace.usual_ms),
+            (said.slow_ms, pace.slow_ms),
+            (said.late_ms, pace.late_ms),
+        )
+    )
+
+
 def _servers_of(
     catalog: CatalogMachine, service: ServiceName
 ) -> dict[ServerName, RegisteredServer]:
--- a/src/cinderway/entry/_attempts.py
+++ b/src/cinderway/entry/_attempts.py
@@ -16,6 +16,7 @@
 from cinderway.entry._blackboard import ServiceState
 from cinderway.entry._dispatch import Dispatcher
 from cinderway.entry._outcomes import OutcomeError, outcome_of_attempt
+from cinderway.entry._policies import hedge_after_ms
 from cinderway.entry._race import race
 from cinderway.entry._relay import WholeAnswer, read_whole
 from cinderway.entry._requests import CallerRequest
@@ -132,8 +133,9 @@
             self.metrics.count("hedges_total", {"service": service.row.name})
             return True
 
-        slow_after_ms = self.dispatcher.evidence.slow_after_ms(service.row.name)
-        return await race(attempt, slow_after_ms, may_hedge)
+        pace = self.dispatcher.evidence.pace(service.row.name)
+        after_ms = hedge_after_ms(pace, request.objective_ms)
+        return await race(attempt, after_ms, may_hedge)
 
     async def may_retry(
         self,
--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -20,7 +20,7 @@
     VerdictBatch,
 )
 from cinderway.entry._blackboard import Blackboard, ServerState
-from cinderway.judgement import EvidenceLog, Suspicions
+from cinderway.judgement import EvidenceLog, Pace, Suspicions
 from cinderway.limits import RetryBudget
 from cinderway.table import ServerRow, ServerState as ListedState, ServiceRow
 
@@ -122,10 +122,10 @@
 
     def apply(self, verdicts: VerdictBatch) -> None:
         """Bring ejections and shares in line with a replica's verdicts."""
-        for service, normal_ms in zip(
-            verdicts.services, verdicts.normal_ms, strict=True
-        ):
-            self.evidence.set_normal(service, normal_ms)
+        for pace in verdicts.paces:
+            self.evidence.set_pace(
+                pace.service, Pace(pace.usual_ms, pace.slow_ms, pace.late_ms)
+            )
         lines = {line.server: line for line in verdicts.lines}
         for service in self.board.services.values():
             for name, server in service.servers.items():
--- a/src/cinderway/entry/_catalog_follower.py
+++ b/src/cinderway/entry/_catalog_follower.py
@@ -53,7 +53,7 @@
 # How often an entry that follows another hall's replica looks for one in its own.
 LOOK_HOME_MS = 5_000
 # Takes all verdicts back that are in force.
-NO_VERDICTS = VerdictBatch([], [], [])
+NO_VERDICTS = VerdictBatch([], [])
 
 
 @dataclass
--- a/src/cinderway/entry/_policies.py
+++ b/src/cinderway/entry/_policies.py
@@ -2,6 +2,7 @@
 
 from cinderway._errors import ErrorCode
 from cinderway.catalog import RouteKind
+from cinderway.judgement import Pace
 from cinderway.routing import Penalties
 
 # Spread, so that callers told to come back do not come together.
@@ -20,6 +21,19 @@
 DOWNLOAD_PENALTIES = Penalties(other_hall=2.0, suspect=1.5)
 
 
+def hedge_after_ms(pace: Pace, objective_ms: int) -> float:
+    """Return how long a repeatable request waits before a second server gets it.
+
+    Most answers come sooner, so that few second tries are wasted; where those nine
+    tenths take long, as in a queue, still early enough for the second server's answer
+    to come within the objective.
+    """
+    if not objective_ms:
+        return pace.slow_ms
+    latest_ms = max(objective_ms - pace.usual_ms, pace.usual_ms)
+    return min(pace.slow_ms, latest_ms)
+
+
 def retry_after_s(code: ErrorCode, spread: float) -> float:
     """Return when a refused caller is to come back; `spread` is from 0 to 1."""
     if code is ErrorCode.BACKEND_SHED:
--- a/src/cinderway/entry/_probe.py
+++ b/src/cinderway/entry/_probe.py
@@ -92,8 +92,8 @@
         request = BackendRequest(
             b"GET", service.row.probe_path.encode(), [(b"host", b"probe")], b""
         )
-        slow_after_ms = evidence.slow_after_ms(service.row.name)
-        deadline_ms = monotonic_ms() + round(slow_after_ms * PROBE_PATIENCE)
+        late_after_ms = evidence.late_after_ms(service.row.name)
+        deadline_ms = monotonic_ms() + round(late_after_ms * PROBE_PATIENCE)
         try:
             await self.dispatcher.probe(service, server, request, deadline_ms)
         except CinderwayError as error:
--- a/src/cinderway/entry/_reporter.py
+++ b/src/cinderway/entry/_reporter.py
@@ -18,6 +18,7 @@
     EvidenceLog,
     EvidenceReport,
     HeldSheet,
+    Pace,
     ServerEvidence,
     ServiceNormal,
     VerdictSheet,
@@ -218,7 +219,7 @@
 
     def _apply_norm(self, name: ServiceName, norm: ServiceNormal) -> None:
         if norm.normal_ms > 0:
-            self.evidence.set_normal(name, norm.normal_ms)
+            self.evidence.set_pace(name, Pace.from_normal(norm.normal_ms))
         service = self.board.services.get(name)
         if service is not None:
             service.background_probes_per_s = norm.probes_per_s
--- a/src/cinderway/entry/_requests.py
+++ b/src/cinderway/entry/_requests.py
@@ -62,6 +62,8 @@
     attempt_id: AttemptId | None = None
     # How many servers may get it, and those that did.
     server_limit: int = ATTEMPT_LIMIT
+    # The time from its arrival within which an answer is worth most; 0 if unknown.
+    objective_ms: int = 0
     tried: set[ServerName] = field(default_factory=set)
     # Set when the caller is gone while an attempt is seen to its end all the same.
     caller_left: anyio.Event = field(default_factory=anyio.Event)
--- a/src/cinderway/entry/_route_handler.py
+++ b/src/cinderway/entry/_route_handler.py
@@ -119,6 +119,7 @@
             body=body,
             backend_request=backend_request_of(scope, body, self.names),
             attempt_id=AttemptId(attempt_id) if attempt_id else None,
+            objective_ms=route.objective_ms,
             server_limit=route.server_limit or DEFAULT_SERVER_LIMIT,
             penalties=penalties_of(route.kind),
         )
--- a/src/cinderway/judgement/__init__.py
+++ b/src/cinderway/judgement/__init__.py
@@ -22,6 +22,7 @@
     Attempt,
     Bad,
     EvidenceLog,
+    Pace,
     ServerCounts,
 )
 from cinderway.judgement._floor import Capacity, floor_slots_of, permitted_ejections
@@ -44,6 +45,7 @@
     "EvidenceReport",
     "GroupView",
     "HeldSheet",
+    "Pace",
     "ReporterState",
     "ServerCounts",
     "ServerEvidence",
--- a/src/cinderway/judgement/_conversation.py
+++ b/src/cinderway/judgement/_conversation.py
@@ -36,6 +36,8 @@
     time_count: int = 0
     probes: int = 0
     is_draining: bool = False
+    # From each send to the answer's head, where an answer came that was no error.
+    answer_times_ms: list[int] = []
 
     @property
     def bad(self) -> int:
@@ -121,5 +123,6 @@
         time_count=counts.time_count,
         probes=counts.probes,
         is_draining=counts.is_draining,
+        answer_times_ms=counts.answer_times_ms,
         **by_kind,
     )
--- a/src/cinderway/judgement/_evidence.py
+++ b/src/cinderway/judgement/_evidence.py
@@ -44,6 +44,7 @@
     bad: dict[Bad, int] = field(default_factory=dict)
     time_sum_ms: float = 0.0
     time_count: int = 0
+    answer_times_ms: list[int] = field(default_factory=list)
     probes: int = 0
     is_draining: bool = False
 
@@ -58,6 +59,26 @@
         return not self.good and not self.bad and not self.probes
 
 
+@dataclass(frozen=True)
+class Pace:
+    """How long a service takes: half of its answers come within `usual_ms`, nine
+    tenths within `slow_ms`, and what takes longer than `late_ms` is in trouble.
+    """
+
+    usual_ms: float
+    slow_ms: float
+    late_ms: float
+
+    @classmethod
+    def from_normal(cls, normal_ms: float) -> "Pace":
+        """Return the pace where nothing but the mean is known."""
+        late_ms = max(normal_ms * SLOW_FACTOR, SLOW_MINIMUM_MS)
+        return cls(normal_ms, late_ms, late_ms)
+
+
+UNKNOWN_PACE = Pace.from_normal(UNKNOWN_NORMAL_MS)
+
+
 @dataclass(eq=False)
 class Attempt:
     """A request in flight. `mark_ms` is when the piece now awaited was begun."""
@@ -76,19 +97,22 @@
     def __init__(self):
         self._counts: dict[tuple[ServiceName, ServerName], ServerCounts] = {}
         self._in_flight: set[Attempt] = set()
-        self._normal_ms: dict[ServiceName, float] = {}
+        self._paces: dict[ServiceName, Pace] = {}
         # Called with the server of each failure. Slowness is none: under load it says
         # more about the service than about the server.
         self.on_failure: Callable[[ServerName], None] | None = None
 
-    def set_normal(self, service: ServiceName, normal_ms: float) -> None:
-        """Take the service's normal time, as pooled over the fleet."""
-        self._normal_ms[service] = normal_ms
+    def set_pace(self, service: ServiceName, pace: Pace) -> None:
+        """Take how long the service takes, as pooled over many entries."""
+        self._paces[service] = pace
+
+    def pace(self, service: ServiceName) -> Pace:
+        """How long the service takes; a guess before anything is known."""
+        return self._paces.get(service, UNKNOWN_PACE)
 
-    def slow_after_ms(self, service: ServiceName) -> float:
+    def late_after_ms(self, service: ServiceName) -> float:
         """How long an observation may take before it is bad."""
-        normal_ms = self._normal_ms.get(service, UNKNOWN_NORMAL_MS)
-        return max(normal_ms * SLOW_FACTOR, SLOW_MINIMUM_MS)
+        return self.pace(service).late_ms
 
     def begin(
         self,
@@ -110,6 +134,8 @@
         if status >= 500:
             self._bad(attempt, Bad.ERROR)
         else:
+            counts = self._counts_of(attempt)
+            counts.answer_times_ms.append(max(now_ms - attempt.mark_ms, 0))
             self._timed(attempt, now_ms)
         self._next_piece(attempt, now_ms)
 
@@ -148,7 +174,7 @@
         for attempt in self._in_flight:
             if attempt.overdue_count >= OVERDUE_LIMIT:
                 continue
-            limit_ms = self.slow_after_ms(attempt.service)
+            limit_ms = self.late_after_ms(attempt.service)
             if now_ms - attempt.mark_ms >= limit_ms * (attempt.overdue_count + 1):
                 attempt.overdue_count += 1
                 attempt.is_piece_overdue = True
@@ -173,7 +199,7 @@
         counts.time_count += 1
         if attempt.is_piece_overdue:
             return
-        if duration_ms > self.slow_after_ms(attempt.service):
+        if duration_ms > self.late_after_ms(attempt.service):
             self._bad(attempt, Bad.SLOW)
         else:
             counts.good += 1
--- a/src/cinderway/wire/schemas/catalog.capnp
+++ b/src/cinderway/wire/schemas/catalog.capnp
@@ -77,10 +77,16 @@
   score @5 :Float64;
 }
 
+struct ServicePace {
+  service @0 :Text;
+  usualMs @1 :Float64;
+  slowMs @2 :Float64;
+  lateMs @3 :Float64;
+}
+
 struct VerdictBatch {
   lines @0 :List(VerdictLine);
-  normalMs @1 :List(Float64);
-  services @2 :List(Text);
+  paces @1 :List(ServicePace);
 }
 
 struct SuspectServers {
--- a/src/cinderway/wire/schemas/judgement.capnp
+++ b/src/cinderway/wire/schemas/judgement.capnp
@@ -31,6 +31,7 @@
   timeCount @9 :UInt32;
   probes @10 :UInt32;
   isDraining @11 :Bool;
+  answerTimesMs @12 :List(UInt32);
 }
 
 struct VerdictSheet {
--- a/tests/judgement/test_evidence.py
+++ b/tests/judgement/test_evidence.py
@@ -1,6 +1,6 @@
 import unittest
 
-from cinderway.judgement import Bad, EvidenceLog
+from cinderway.judgement import Bad, EvidenceLog, Pace
 from cinderway.judgement._evidence import PIECE_BYTES, SLOW_FACTOR
 
 KEY = ("maps", "m1")
@@ -9,7 +9,7 @@
 class EvidenceTest(unittest.TestCase):
     def setUp(self):
         self.log = EvidenceLog()
-        self.log.set_normal("maps", 50.0)
+        self.log.set_pace("maps", Pace.from_normal(50.0))
         self.attempt = self.log.begin("maps", "m1", 0)
 
     def counts(self):
