judgement: a request that is late makes its server suspect while it is in flight

Ruled out: waiting for the failure itself, which comes with the route's time-out. Change: a request in flight for longer than 98 of 100 answers take raises the same suspicion as a failure, at that moment: entries wake when the next request turns late. An answer that was slow but came raises none. The test that said "slowness makes no suspect" is replaced by two as strict: a slow answer makes none, an overdue one does.

--- a/src/cinderway/control/_hall_assessor.py
+++ b/src/cinderway/control/_hall_assessor.py
@@ -25,7 +25,6 @@
 from cinderway.control._answer_times import AnswerTimes
 from cinderway.judgement import (
     Capacity,
-    Pace,
     ServerEvidence,
     ServerRecord,
     ServiceJudge,
@@ -89,7 +88,7 @@
             )
             times = self._times.setdefault(evidence.service, AnswerTimes(now_ms))
             times.add(evidence.answer_times_ms, now_ms)
-            if evidence.error or evidence.unreachable or evidence.cut:
+            if evidence.failed or evidence.overdue:
                 self._suspect(evidence.server, now_ms)
         self._has_evidence = True
 
@@ -194,13 +193,11 @@
 
     def _paces_to_tell(self) -> list[ServicePace]:
         """How long services take, told anew only when that moves by a good part."""
-        for service, judge in self._judges.items():
-            times = self._times.get(service)
-            found = times.quantiles() if times else None
-            if found is None or not judge.normal_ms:
+        for service, times in self._times.items():
+            found = times.quantiles()
+            if found is None:
                 continue
-            late_ms = Pace.from_normal(judge.normal_ms).late_ms
-            pace = ServicePace(service, found.usual_ms, found.slow_ms, late_ms)
+            pace = ServicePace(service, found.usual_ms, found.slow_ms, found.late_ms)
             said = self._said_paces.get(service)
             if said is None or _has_moved(said, pace):
                 self._said_paces[service] = pace
--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -49,7 +49,7 @@
     _suspicions: Suspicions = field(default_factory=Suspicions)
 
     def __post_init__(self):
-        self.evidence.on_failure = self.note_failure
+        self.evidence.on_alarm = self.note_failure
         self.board.on_load = self._note_load
 
     @property
--- a/src/cinderway/entry/_catalog_reports.py
+++ b/src/cinderway/entry/_catalog_reports.py
@@ -11,7 +11,7 @@
 from cinderway._ids import DataHall, EntryName, ServiceName
 from cinderway.catalog import EvidenceBatch
 from cinderway.entry._catalog_board import CatalogBoard
-from cinderway.judgement import evidence_from
+from cinderway.judgement import EvidenceLog, evidence_from
 from cinderway.wire import Connection
 
 logger = logging.getLogger(__name__)
@@ -43,7 +43,7 @@
         reported_at_ms = 0
         while True:
             await self._state.activity.wait()
-            with anyio.move_on_after(REPORT_PAUSE_S):
+            with anyio.move_on_after(self._pause_s(evidence)):
                 await self._state.bad_news.wait()
             self._state.bad_news = anyio.Event()
             now_ms = monotonic_ms()
@@ -58,6 +58,12 @@
             elif not self._state.board.in_flight:
                 self._state.activity = anyio.Event()
 
+    @staticmethod
+    def _pause_s(evidence: EvidenceLog) -> float:
+        """Return the time until the next look: sooner if a request will be late."""
+        late_in_s = (evidence.next_late_at_ms() - monotonic_ms()) / 1000
+        return min(max(late_in_s, 0.0), REPORT_PAUSE_S)
+
     async def send_loads(self, connection: Connection) -> None:
         """Tell the hall how full servers are, whenever that changes."""
         while True:
--- a/src/cinderway/judgement/_conversation.py
+++ b/src/cinderway/judgement/_conversation.py
@@ -44,6 +44,11 @@
         """Bad observations of all kinds."""
         return self.error + self.unreachable + self.cut + self.slow + self.overdue
 
+    @property
+    def failed(self) -> int:
+        """Requests that ended without a good answer."""
+        return self.error + self.unreachable + self.cut
+
     def main_reason(self) -> Bad:
         """The most frequent kind of bad observation."""
         return max(Bad, key=lambda kind: getattr(self, kind.value))
--- a/src/cinderway/judgement/_evidence.py
+++ b/src/cinderway/judgement/_evidence.py
@@ -5,6 +5,7 @@
 already (censored evidence): detection must not wait for a timeout.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -33,7 +34,9 @@
     OVERDUE = "overdue"
 
 
-FAILURES = frozenset({Bad.ERROR, Bad.UNREACHABLE, Bad.CUT})
+# What makes a server suspect at once. A slow answer does not: under load it says more
+# about the service than about the server.
+ALARMS = frozenset({Bad.ERROR, Bad.UNREACHABLE, Bad.CUT, Bad.OVERDUE})
 
 
 @dataclass
@@ -98,9 +101,8 @@
         self._counts: dict[tuple[ServiceName, ServerName], ServerCounts] = {}
         self._in_flight: set[Attempt] = set()
         self._paces: dict[ServiceName, Pace] = {}
-        # Called with the server of each failure. Slowness is none: under load it says
-        # more about the service than about the server.
-        self.on_failure: Callable[[ServerName], None] | None = None
+        # Called with the server of each alarm.
+        self.on_alarm: Callable[[ServerName], None] | None = None
 
     def set_pace(self, service: ServiceName, pace: Pace) -> None:
         """Take how long the service takes, as pooled over many entries."""
@@ -172,14 +174,24 @@
     def sweep(self, now_ms: int) -> None:
         """Count what is in flight for too long."""
         for attempt in self._in_flight:
-            if attempt.overdue_count >= OVERDUE_LIMIT:
-                continue
-            limit_ms = self.late_after_ms(attempt.service)
-            if now_ms - attempt.mark_ms >= limit_ms * (attempt.overdue_count + 1):
+            if now_ms >= self._late_at_ms(attempt):
                 attempt.overdue_count += 1
                 attempt.is_piece_overdue = True
                 self._bad(attempt, Bad.OVERDUE)
 
+    def next_late_at_ms(self) -> float:
+        """When the next request in flight will be late; infinite if there is none."""
+        return min(
+            (self._late_at_ms(attempt) for attempt in self._in_flight), default=math.inf
+        )
+
+    def _late_at_ms(self, attempt: Attempt) -> float:
+        """When the attempt is next to be counted overdue."""
+        if attempt.overdue_count >= OVERDUE_LIMIT:
+            return math.inf
+        limit_ms = self.late_after_ms(attempt.service) * (attempt.overdue_count + 1)
+        return attempt.mark_ms + limit_ms
+
     @property
     def has_bad(self) -> bool:
         """Whether there is something that must not wait."""
@@ -213,8 +225,8 @@
     def _bad(self, attempt: Attempt, kind: Bad) -> None:
         bad = self._counts_of(attempt).bad
         bad[kind] = bad.get(kind, 0) + 1
-        if self.on_failure is not None and kind in FAILURES:
-            self.on_failure(attempt.server)
+        if self.on_alarm is not None and kind in ALARMS:
+            self.on_alarm(attempt.server)
 
     def _counts_of(self, attempt: Attempt) -> ServerCounts:
         key = (attempt.service, attempt.server)
--- a/tests/control/test_hall_assessor.py
+++ b/tests/control/test_hall_assessor.py
@@ -99,13 +99,57 @@
         assessor.take(batch(ENTRIES[0], SERVERS[1:2]), 100)
         self.assertEqual(assessor.new_suspects(100).servers, ["i-2"])
 
-    def test_slowness_makes_no_suspect(self):
+    def suspects_after(self, evidence):
         assessor = self.assessor()
-        slow = ServerEvidence(LOOKUP, SERVERS[0], slow=1, overdue=1)
         sent = batch(ENTRIES[0])
-        sent = msgspec.structs.replace(sent, servers=msgspec.msgpack.encode([slow]))
+        sent = msgspec.structs.replace(sent, servers=msgspec.msgpack.encode([evidence]))
         assessor.take(sent, 100)
-        self.assertIsNone(assessor.new_suspects(100))
+        return assessor.new_suspects(100)
+
+    def test_a_slow_answer_makes_no_suspect(self):
+        slow = ServerEvidence(LOOKUP, SERVERS[0], slow=1)
+        self.assertIsNone(self.suspects_after(slow))
+
+    def test_an_overdue_request_makes_a_suspect_before_it_has_failed(self):
+        overdue = ServerEvidence(LOOKUP, SERVERS[0], overdue=1)
+        self.assertEqual(self.suspects_after(overdue).servers, ["i-1"])
+
+    def answer(self, assessor, times_ms):
+        evidence = ServerEvidence(
+            LOOKUP,
+            SERVERS[0],
+            good=len(times_ms),
+            time_sum_ms=sum(times_ms),
+            time_count=len(times_ms),
+            answer_times_ms=times_ms,
+        )
+        sent = msgspec.structs.replace(
+            batch(ENTRIES[0]), servers=msgspec.msgpack.encode([evidence])
+        )
+        assessor.take(sent, self.now_ms)
+        return assessor.decide(self.catalog, self.now_ms)["suva"].paces
+
+    def test_entries_are_told_how_long_a_service_takes(self):
+        (pace,) = self.answer(self.assessor(), list(range(1, 101)))
+        self.assertEqual((pace.usual_ms, pace.slow_ms, pace.late_ms), (50, 90, 98))
+
+    def test_a_few_answers_do_not_tell_how_long_a_service_takes(self):
+        self.assertEqual(self.answer(self.assessor(), [100] * 10), [])
+
+    def test_entries_are_told_again_only_when_it_has_moved_by_a_good_part(self):
+        assessor = self.assessor()
+        (first,) = self.answer(assessor, [100] * 50)
+        self.assertEqual(self.answer(assessor, [110] * 100), [first])
+        (moved,) = self.answer(assessor, [200] * 500)
+        self.assertEqual(moved.usual_ms, 200)
+
+    def test_what_a_service_took_long_ago_is_forgotten(self):
+        assessor = self.assessor()
+        self.answer(assessor, [100] * 50)
+        for _ in range(2):
+            self.now_ms += 10_000
+            (pace,) = self.answer(assessor, [250] * 50)
+        self.assertEqual(pace.usual_ms, 250)
 
     def serve(self, assessor, slow_ms, rounds=3):
         """Let all entries get answers, in 100 ms but from the first server."""
