judgement, entry: go by the objective at first; end false suspicions; prefer proven servers

Cause: (1) until 20 answers were seen a service was late after 2.5 s, so the first seconds after a start waited for whole time-outs; (2) of every hundred requests some are just slow, and each made a healthy server suspect for 2.8 s; (3) payments went to idle servers at random, so each of 15 servers' bursts was found out by losing at least one. Change: (1) the objective of the routes stands in for the pace; (2) an answer that comes after all ends a suspicion that only lateness raised, told to all entries; (3) entries tell with loads that a server has just answered well; a request that runs once takes that into account as one slot's load at most, and a server that nobody has tried for 2 s counts like a proven one, so that new servers get work.

--- a/src/cinderway/catalog/_conversation.py
+++ b/src/cinderway/catalog/_conversation.py
@@ -121,21 +121,40 @@
 
 
 class SuspectServers(Message, frozen=True):
-    """Servers that have just failed a request, and for how long to avoid each."""
+    """Servers that have just failed a request, and for how long to avoid each.
+
+    With no time left, a server is suspect no longer.
+    """
 
     servers: list[ServerName]
     for_ms: list[int]
 
 
+class ServerLoad(Message, frozen=True):
+    """How full a server is, as a share of its slots, requests that wait included.
+
+    `is_proven` says that it has just answered a request well.
+    """
+
+    server: ServerName
+    load: float
+    is_proven: bool = False
+
+    def after(self, earlier: "ServerLoad | None") -> "ServerLoad":
+        """Return this with what an earlier one, not passed on yet, has proven."""
+        if earlier is None or not earlier.is_proven:
+            return self
+        return ServerLoad(self.server, self.load, True)
+
+
 class ServerLoads(Message, frozen=True):
-    """How full servers are, as shares of their slots, requests that wait included.
+    """What an entry has just come to know of servers' loads.
 
-    An entry says so of servers that it has just sent a request to or had an answer
-    from; its replica passes it on to the other entries of the hall.
+    It tells of servers that it has just sent a request to or had an answer from; its
+    replica passes that on to the other entries of the hall.
     """
 
-    servers: list[ServerName]
-    loads: list[float]
+    servers: list[ServerLoad]
 
 
 class SubmitCommand(Message, frozen=True):
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -22,6 +22,7 @@
     FollowCatalog,
     ReplicasAnswer,
     RetryAnswer,
+    ServerLoad,
     ServerLoads,
     SubmitCommand,
     SuspectServers,
@@ -67,7 +68,7 @@
     assessor: HallAssessor
     retry_pools: RetryPools
     followers: set[Follower] = field(default_factory=set)
-    _loads: dict[ServerName, float] = field(default_factory=dict)
+    _loads: dict[ServerName, ServerLoad] = field(default_factory=dict)
     _loads_changed: anyio.Event = field(default_factory=anyio.Event)
     _tasks: anyio.abc.TaskGroup | None = None
 
@@ -106,9 +107,8 @@
                             tasks.start_soon(self._feed, connection, request)
                         case EvidenceBatch() as batch:
                             self._take_evidence(batch)
-                        case ServerLoads(servers=servers, loads=loads):
-                            self._loads.update(zip(servers, loads, strict=True))
-                            self._loads_changed.set()
+                        case ServerLoads(servers=loads):
+                            self._take_loads(loads)
                         case message:
                             tasks.start_soon(
                                 self._answer, connection, envelope.call_id, message
@@ -117,6 +117,11 @@
                 logger.debug("a conversation with %s ended: %s", name, error)
                 tasks.cancel_scope.cancel()
 
+    def _take_loads(self, loads: list[ServerLoad]) -> None:
+        for load in loads:
+            self._loads[load.server] = load.after(self._loads.get(load.server))
+        self._loads_changed.set()
+
     def _take_evidence(self, batch: EvidenceBatch) -> None:
         now_ms = monotonic_ms()
         self.assessor.take(batch, now_ms)
@@ -230,7 +235,7 @@
             loads, self._loads = self._loads, {}
             for follower in self.followers:
                 if follower.data_hall == self.own.data_hall:
-                    follower.tell_loads(loads)
+                    follower.tell_loads(loads.values())
             await anyio.sleep(LOAD_PAUSE_S)
 
     async def _announce(self) -> None:
--- a/src/cinderway/control/_follower.py
+++ b/src/cinderway/control/_follower.py
@@ -4,7 +4,7 @@
 heartbeat also when there is nothing else to send.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 import anyio
@@ -14,6 +14,7 @@
 from cinderway.catalog import (
     CatalogHeartbeat,
     CatalogMachine,
+    ServerLoad,
     ServerLoads,
     SuspectServers,
     VerdictBatch,
@@ -40,7 +41,7 @@
     _verdicts: VerdictBatch | None = None
     _sent_verdicts: VerdictBatch | None = None
     _suspects: list[SuspectServers] = field(default_factory=list)
-    _loads: dict[ServerName, float] = field(default_factory=dict)
+    _loads: dict[ServerName, ServerLoad] = field(default_factory=dict)
     _heartbeat_at_ms: int = 0
     _news: anyio.Event = field(default_factory=anyio.Event)
 
@@ -53,9 +54,10 @@
         self._suspects.append(suspects)
         self.wake()
 
-    def tell_loads(self, loads: dict[ServerName, float]) -> None:
+    def tell_loads(self, loads: Iterable[ServerLoad]) -> None:
         """Send these with what is sent next, the newest of each server."""
-        self._loads.update(loads)
+        for load in loads:
+            self._loads[load.server] = load.after(self._loads.get(load.server))
         self.wake()
 
     def tell_verdicts(self, verdicts: VerdictBatch) -> None:
@@ -105,7 +107,7 @@
     async def _send_loads(self) -> None:
         if self._loads:
             loads, self._loads = self._loads, {}
-            await self._send(ServerLoads(list(loads), list(loads.values())))
+            await self._send(ServerLoads(list(loads.values())))
 
     async def _send_heartbeat(self) -> None:
         if monotonic_ms() < self._heartbeat_at_ms:
--- a/src/cinderway/control/_hall_assessor.py
+++ b/src/cinderway/control/_hall_assessor.py
@@ -88,17 +88,25 @@
             )
             times = self._times.setdefault(evidence.service, AnswerTimes(now_ms))
             times.add(evidence.answer_times_ms, now_ms)
-            if evidence.failed or evidence.overdue:
-                self._suspect(evidence.server, now_ms)
+            self._update_suspicion(evidence, now_ms)
         self._has_evidence = True
 
-    def _suspect(self, server: ServerName, now_ms: int) -> None:
-        until_ms = self._suspicions.note_failure(server, now_ms)
-        if until_ms is not None:
-            self._new_suspects[server] = until_ms
+    def _update_suspicion(self, evidence: ServerEvidence, now_ms: int) -> None:
+        server = evidence.server
+        if evidence.failed or evidence.overdue:
+            until_ms = self._suspicions.note_failure(
+                server, now_ms, is_overdue=not evidence.failed
+            )
+            if until_ms is not None:
+                self._new_suspects[server] = until_ms
+        elif evidence.late_answers and self._suspicions.note_late_answer(server):
+            self._new_suspects[server] = now_ms
 
     def new_suspects(self, now_ms: int) -> SuspectServers | None:
-        """Return the servers that became suspect since the last call, if any."""
+        """Return what changed of suspicions since the last call, if anything.
+
+        A server that is suspect no longer is told with no time left.
+        """
         found, self._new_suspects = self._new_suspects, {}
         self._suspicions.forget_old(now_ms)
         if not found:
--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -15,6 +15,8 @@
     CatalogUpdate,
     RegisteredServer,
     RouteIndex,
+    RouteSheet,
+    ServerLoad,
     ServerLoads,
     ServerStatus as Status,
     VerdictBatch,
@@ -44,12 +46,13 @@
     activity: anyio.Event = field(default_factory=anyio.Event)
     bad_news: anyio.Event = field(default_factory=anyio.Event)
     loads_changed: anyio.Event = field(default_factory=anyio.Event)
-    _loads: dict[ServerName, float] = field(default_factory=dict)
+    _loads: dict[ServerName, ServerLoad] = field(default_factory=dict)
     _routed: anyio.Event = field(default_factory=anyio.Event)
     _suspicions: Suspicions = field(default_factory=Suspicions)
 
     def __post_init__(self):
-        self.evidence.on_alarm = self.note_failure
+        self.evidence.on_alarm = self.note_alarm
+        self.evidence.on_late_answer = self.note_late_answer
         self.board.on_load = self._note_load
 
     @property
@@ -72,10 +75,18 @@
         """Wake what reports evidence."""
         self.activity.set()
 
-    def note_failure(self, server: ServerName) -> None:
-        """Avoid a server that has just failed a request of this entry's."""
-        until_ms = self._suspicions.note_failure(server, monotonic_ms())
-        self.suspect(server, until_ms or 0)
+    def note_alarm(self, server: ServerName, is_overdue: bool) -> None:
+        """Avoid a server that failed a request of this entry's, or is late with one."""
+        now_ms = monotonic_ms()
+        until_ms = self._suspicions.note_failure(server, now_ms, is_overdue=is_overdue)
+        if until_ms is not None:
+            self.suspect(server, until_ms)
+        self.bad_news.set()
+
+    def note_late_answer(self, server: ServerName) -> None:
+        """Trust a server again that was late and does not hang."""
+        if self._suspicions.note_late_answer(server):
+            self.clear(server)
         self.bad_news.set()
 
     def suspect(self, server: ServerName, until_ms: int) -> None:
@@ -84,28 +95,38 @@
         if state is not None:
             state.suspect_until_ms = max(state.suspect_until_ms, until_ms)
 
+    def clear(self, server: ServerName) -> None:
+        """End a suspicion before its time."""
+        state = self._state_of(server)
+        if state is not None:
+            state.suspect_until_ms = 0
+
     def _state_of(self, server: ServerName) -> ServerState | None:
         registered = self.mirror.servers.get(server)
         if registered is None or registered.service not in self.board.services:
             return None
         return self.board.services[registered.service].servers[server]
 
-    def _note_load(self, server: ServerName, load: float) -> None:
-        self._loads[server] = load
+    def _note_load(self, server: ServerName, load: float, is_proven: bool) -> None:
+        told = ServerLoad(server, load, is_proven)
+        self._loads[server] = told.after(self._loads.get(server))
         self.loads_changed.set()
 
     def take_loads(self) -> ServerLoads:
         """Return the loads that this entry came to know since the last call."""
         loads, self._loads = self._loads, {}
         self.loads_changed = anyio.Event()
-        return ServerLoads(list(loads), list(loads.values()))
+        return ServerLoads(list(loads.values()))
 
     def hear_loads(self, message: ServerLoads, now_ms: int) -> None:
         """Take over what other entries of the hall know."""
-        for name, load in zip(message.servers, message.loads, strict=True):
-            server = self._state_of(name)
-            if server is not None:
-                server.note_load(load, now_ms)
+        for told in message.servers:
+            server = self._state_of(told.server)
+            if server is None:
+                continue
+            server.note_load(told.load, now_ms)
+            if told.is_proven:
+                server.proven_at_ms = now_ms
 
     def install(self, update: CatalogUpdate, now_ms: int) -> bool:
         """Put an update in force; False if it is not newer than what is."""
@@ -117,6 +138,7 @@
         if update.sheet or self.routes is None:
             self.routes = RouteIndex(sheet)
             self._routed.set()
+            self.evidence.assume_paces(_objectives_of(sheet))
         self._refresh(now_ms)
         return True
 
@@ -176,6 +198,16 @@
                     server.warm_until_ms = now_ms + warmup_ms
 
 
+def _objectives_of(sheet: RouteSheet) -> dict[ServiceName, int]:
+    """Return each service's objective: the longest of the routes that lead there."""
+    objectives_ms: dict[ServiceName, int] = {}
+    for route in sheet.routes:
+        for part in route.parts:
+            longest_ms = objectives_ms.get(part.service, 0)
+            objectives_ms[part.service] = max(longest_ms, route.objective_ms)
+    return objectives_ms
+
+
 def _row_of(server: RegisteredServer, connection_limit: int) -> ServerRow:
     is_leaving = server.status is Status.LEAVING
     return ServerRow(
--- a/src/cinderway/entry/_catalog_follower.py
+++ b/src/cinderway/entry/_catalog_follower.py
@@ -219,7 +219,10 @@
                 self._install(message, now_ms)
             case SuspectServers(servers=servers, for_ms=for_ms):
                 for server, left_ms in zip(servers, for_ms, strict=True):
-                    self.state.suspect(server, now_ms + left_ms)
+                    if left_ms:
+                        self.state.suspect(server, now_ms + left_ms)
+                    else:
+                        self.state.clear(server)
             case ServerLoads():
                 self.state.hear_loads(message, now_ms)
             case RetryAnswer(is_granted=is_granted):
--- a/src/cinderway/entry/_catalog_reports.py
+++ b/src/cinderway/entry/_catalog_reports.py
@@ -49,7 +49,7 @@
             now_ms = monotonic_ms()
             evidence.sweep(now_ms)
             is_due = now_ms - reported_at_ms >= GATHER_MS
-            if not evidence.has_bad and not is_due:
+            if not evidence.has_urgent and not is_due:
                 continue
             counts = evidence.take()
             if counts:
--- a/src/cinderway/entry/_reporter.py
+++ b/src/cinderway/entry/_reporter.py
@@ -95,7 +95,7 @@
             if now_ms - self._chosen_at_ms >= CHOOSE_PAUSE_MS:
                 self._chosen_at_ms = now_ms
                 self._choose_assessors(now_ms)
-            if self.evidence.has_bad or now_ms - self._reported_at_ms >= GATHER_MS:
+            if self.evidence.has_urgent or now_ms - self._reported_at_ms >= GATHER_MS:
                 self._reported_at_ms = now_ms
                 await self._report(now_ms)
             if now_ms - self._applied_at_ms >= APPLY_PAUSE_MS:
--- a/src/cinderway/judgement/_conversation.py
+++ b/src/cinderway/judgement/_conversation.py
@@ -38,6 +38,7 @@
     is_draining: bool = False
     # From each send to the answer's head, where an answer came that was no error.
     answer_times_ms: list[int] = []
+    late_answers: int = 0
 
     @property
     def bad(self) -> int:
@@ -129,5 +130,6 @@
         probes=counts.probes,
         is_draining=counts.is_draining,
         answer_times_ms=counts.answer_times_ms,
+        late_answers=counts.late_answers,
         **by_kind,
     )
--- a/src/cinderway/judgement/_evidence.py
+++ b/src/cinderway/judgement/_evidence.py
@@ -20,6 +20,11 @@
 # An exponentially distributed time is above 5 means once in 150.
 SLOW_FACTOR = 5.0
 SLOW_MINIMUM_MS = 100.0
+# Of a route's objective, where nothing else is known of its service's times: a second
+# server that is asked by the half of it can still answer in time.
+ASSUMED_USUAL_SHARE = 0.25
+ASSUMED_SLOW_SHARE = 0.5
+ASSUMED_LATE_SHARE = 0.75
 # One stuck stream must not outweigh everything else.
 OVERDUE_LIMIT = 3
 
@@ -48,6 +53,8 @@
     time_sum_ms: float = 0.0
     time_count: int = 0
     answer_times_ms: list[int] = field(default_factory=list)
+    # Answers that came after all to requests that had been counted overdue.
+    late_answers: int = 0
     probes: int = 0
     is_draining: bool = False
 
@@ -78,6 +85,19 @@
         late_ms = max(normal_ms * SLOW_FACTOR, SLOW_MINIMUM_MS)
         return cls(normal_ms, late_ms, late_ms)
 
+    @classmethod
+    def from_objective(cls, objective_ms: int) -> "Pace":
+        """Return the pace of a service that meets its objective with room to spare.
+
+        Used until enough answers were seen: without it a fleet that has just started
+        waits for whole timeouts where its servers hang.
+        """
+        return cls(
+            objective_ms * ASSUMED_USUAL_SHARE,
+            objective_ms * ASSUMED_SLOW_SHARE,
+            objective_ms * ASSUMED_LATE_SHARE,
+        )
+
 
 UNKNOWN_PACE = Pace.from_normal(UNKNOWN_NORMAL_MS)
 
@@ -101,16 +121,28 @@
         self._counts: dict[tuple[ServiceName, ServerName], ServerCounts] = {}
         self._in_flight: set[Attempt] = set()
         self._paces: dict[ServiceName, Pace] = {}
-        # Called with the server of each alarm.
-        self.on_alarm: Callable[[ServerName], None] | None = None
+        self._assumed_paces: dict[ServiceName, Pace] = {}
+        # Called with the server of each alarm, and whether it is an overdue request.
+        self.on_alarm: Callable[[ServerName, bool], None] | None = None
+        # Called with the server of a late answer: it was slow, it does not hang.
+        self.on_late_answer: Callable[[ServerName], None] | None = None
 
     def set_pace(self, service: ServiceName, pace: Pace) -> None:
         """Take how long the service takes, as pooled over many entries."""
         self._paces[service] = pace
 
+    def assume_paces(self, objectives_ms: dict[ServiceName, int]) -> None:
+        """Take services' objectives, to go by where no pace is known yet."""
+        self._assumed_paces = {
+            service: Pace.from_objective(objective_ms)
+            for service, objective_ms in objectives_ms.items()
+            if objective_ms > 0
+        }
+
     def pace(self, service: ServiceName) -> Pace:
         """How long the service takes; a guess before anything is known."""
-        return self._paces.get(service, UNKNOWN_PACE)
+        known = self._paces.get(service)
+        return known or self._assumed_paces.get(service, UNKNOWN_PACE)
 
     def late_after_ms(self, service: ServiceName) -> float:
         """How long an observation may take before it is bad."""
@@ -139,6 +171,8 @@
             counts = self._counts_of(attempt)
             counts.answer_times_ms.append(max(now_ms - attempt.mark_ms, 0))
             self._timed(attempt, now_ms)
+            if attempt.is_piece_overdue:
+                self._note_late_answer(attempt, counts)
         self._next_piece(attempt, now_ms)
 
     def progress(self, attempt: Attempt, size_bytes: int, now_ms: int) -> None:
@@ -193,9 +227,11 @@
         return attempt.mark_ms + limit_ms
 
     @property
-    def has_bad(self) -> bool:
+    def has_urgent(self) -> bool:
         """Whether there is something that must not wait."""
-        return any(c.bad or c.is_draining for c in self._counts.values())
+        return any(
+            c.bad or c.is_draining or c.late_answers for c in self._counts.values()
+        )
 
     def take(self) -> dict[tuple[ServiceName, ServerName], ServerCounts]:
         """Return the observations since the last call."""
@@ -216,6 +252,11 @@
         else:
             counts.good += 1
 
+    def _note_late_answer(self, attempt: Attempt, counts: ServerCounts) -> None:
+        counts.late_answers += 1
+        if self.on_late_answer is not None:
+            self.on_late_answer(attempt.server)
+
     def _next_piece(self, attempt: Attempt, now_ms: int) -> None:
         attempt.mark_ms = now_ms
         attempt.piece_bytes = 0
@@ -226,7 +267,7 @@
         bad = self._counts_of(attempt).bad
         bad[kind] = bad.get(kind, 0) + 1
         if self.on_alarm is not None and kind in ALARMS:
-            self.on_alarm(attempt.server)
+            self.on_alarm(attempt.server, kind is Bad.OVERDUE)
 
     def _counts_of(self, attempt: Attempt) -> ServerCounts:
         key = (attempt.service, attempt.server)
--- a/src/cinderway/judgement/_suspicion.py
+++ b/src/cinderway/judgement/_suspicion.py
@@ -6,6 +6,9 @@
 server gets requests only where nothing better is free, then wherever the others are
 much fuller, at last nearly as before. This is no ejection: it needs no proof and takes
 no capacity away.
+
+A request that is overdue may still be answered; then its server was slow and does not
+hang, and the suspicion ends at once, unless a request has failed there too.
 """
 
 from dataclasses import dataclass, field
@@ -28,20 +31,35 @@
     """The servers that failed a moment ago, and when each suspicion ends."""
 
     _until_ms: dict[ServerName, int] = field(default_factory=dict)
+    # Those that have failed no request yet, but are late with one.
+    _late_only: set[ServerName] = field(default_factory=set)
 
-    def note_failure(self, server: ServerName, now_ms: int) -> int | None:
-        """Note a failed request; return when the suspicion ends if that is new.
+    def note_failure(
+        self, server: ServerName, now_ms: int, *, is_overdue: bool = False
+    ) -> int | None:
+        """Note a failed or overdue request; return when suspicion ends if that is new.
 
         Failures right after another one do not renew it: they are mostly requests
         that were under way.
         """
-        known_until_ms = self._until_ms.get(server)
+        known_until_ms = self._until_ms.get(server, now_ms)
+        if not is_overdue:
+            self._late_only.discard(server)
+        elif known_until_ms <= now_ms:
+            self._late_only.add(server)
         until_ms = now_ms + FADES_MS
-        if known_until_ms is not None and until_ms < known_until_ms + UNDER_WAY_MS:
+        if until_ms < known_until_ms + UNDER_WAY_MS:
             return None
         self._until_ms[server] = until_ms
         return until_ms
 
+    def note_late_answer(self, server: ServerName) -> bool:
+        """Note an answer to an overdue request; True if that ends a suspicion."""
+        if server not in self._late_only:
+            return False
+        self._late_only.remove(server)
+        return self._until_ms.pop(server, None) is not None
+
     def forget_old(self, now_ms: int) -> None:
         """Drop what no longer says anything."""
         self._until_ms = {
@@ -49,3 +67,4 @@
             for server, until_ms in self._until_ms.items()
             if now_ms < until_ms
         }
+        self._late_only &= self._until_ms.keys()
--- a/src/cinderway/wire/schemas/catalog.capnp
+++ b/src/cinderway/wire/schemas/catalog.capnp
@@ -94,9 +94,14 @@
   forMs @1 :List(UInt32);
 }
 
+struct ServerLoad {
+  server @0 :Text;
+  load @1 :Float32;
+  isProven @2 :Bool;
+}
+
 struct ServerLoads {
-  servers @0 :List(Text);
-  loads @1 :List(Float32);
+  servers @0 :List(ServerLoad);
 }
 
 struct SubmitCommand {
--- a/src/cinderway/wire/schemas/judgement.capnp
+++ b/src/cinderway/wire/schemas/judgement.capnp
@@ -32,6 +32,7 @@
   probes @10 :UInt32;
   isDraining @11 :Bool;
   answerTimesMs @12 :List(UInt32);
+  lateAnswers @13 :UInt32;
 }
 
 struct VerdictSheet {
--- a/tests/control/test_follower.py
+++ b/tests/control/test_follower.py
@@ -9,6 +9,7 @@
     CatalogMachine,
     CatalogUpdate,
     InstallSheet,
+    ServerLoad,
     ServerLoads,
     encode_command,
 )
@@ -65,11 +66,12 @@
 
     def test_of_each_servers_loads_the_newest_is_sent(self):
         def tell():
-            self.follower.tell_loads({"i-1": 0.3, "i-2": 1.0})
-            self.follower.tell_loads({"i-1": 0.6})
+            self.follower.tell_loads([ServerLoad("i-1", 0.3), ServerLoad("i-2", 1.0)])
+            self.follower.tell_loads([ServerLoad("i-1", 0.6)])
 
         anyio.run(self.feed_until_blocked, tell)
-        self.assertIn(ServerLoads(["i-1", "i-2"], [0.6, 1.0]), self.sent.messages)
+        told = ServerLoads([ServerLoad("i-1", 0.6), ServerLoad("i-2", 1.0)])
+        self.assertIn(told, self.sent.messages)
 
     def test_news_in_between_does_not_put_the_next_heartbeat_off(self):
         self.follower._heartbeat_at_ms = 500
--- a/tests/entry/test_catalog_board.py
+++ b/tests/entry/test_catalog_board.py
@@ -12,6 +12,7 @@
     InstallSheet,
     Register,
     RegisteredServer,
+    ServerLoad,
     ServerLoads,
     ServerStatus,
     encode_command,
@@ -58,7 +59,8 @@
         self.dispatcher = Dispatcher(board, BackendConnections(), EvidenceLog())
 
     def hear(self, **loads):
-        message = ServerLoads(list(loads), list(loads.values()))
+        told = [ServerLoad(ServerName(name), load) for name, load in loads.items()]
+        message = ServerLoads(told)
         self.state.hear_loads(message, monotonic_ms())
 
     def choice(self, penalties=USUAL_PENALTIES):
@@ -88,7 +90,7 @@
         server = self.servers["a"]
         self.dispatcher._note_send(server, server.load_known_at_ms)
         told = self.state.take_loads()
-        self.assertEqual((told.servers, told.loads), (["a"], [0.75]))
+        self.assertEqual(told.servers, [ServerLoad("a", 0.75)])
         self.assertEqual(self.state.take_loads().servers, [])
 
     def test_nothing_is_made_up_of_servers_that_tell_no_load(self):
@@ -98,3 +100,30 @@
     def test_loads_of_servers_that_are_not_known_here_are_passed_over(self):
         self.hear(unknown=1.0, a=0.5)
         self.assertEqual(self.servers["a"].known_load, 0.5)
+
+
+class DoubtTests(SharedLoadTests):
+    """What a good answer of one entry says to the others of its hall."""
+
+    def prove(self, *names):
+        told = [ServerLoad(ServerName(name), 0.0, True) for name in names]
+        self.state.hear_loads(ServerLoads(told), monotonic_ms())
+
+    def test_of_two_idle_servers_the_one_that_has_just_answered_is_chosen(self):
+        self.hear(a=0.0, b=0.0)
+        self.prove("b")
+        chosen = {self.choice(Penalties(doubt=1.0)) for _ in range(20)}
+        self.assertEqual(chosen, {"b"})
+
+    def test_a_server_that_nobody_has_tried_for_long_is_chosen_like_a_proven_one(self):
+        self.prove("b")
+        chosen = {self.choice(Penalties(doubt=1.0)) for _ in range(40)}
+        self.assertEqual(chosen, {"a", "b"})
+
+    def test_a_proof_is_not_lost_when_a_newer_load_is_told_with_it(self):
+        server = self.servers["a"]
+        server.tells_load = True
+        now_ms = monotonic_ms()
+        self.dispatcher._note_load(server, 0.5, now_ms, is_proven=True)
+        self.dispatcher._note_send(server, now_ms)
+        self.assertEqual(self.state.take_loads().servers, [ServerLoad("a", 0.75, True)])
--- a/tests/judgement/test_suspicion.py
+++ b/tests/judgement/test_suspicion.py
@@ -39,3 +39,23 @@
         self.assertNotEqual(self.suspicions, Suspicions())
         self.suspicions.forget_old(until_ms)
         self.assertEqual(self.suspicions, Suspicions())
+
+    def test_late_answer_ends_the_suspicion_that_lateness_raised(self):
+        self.suspicions.note_failure("s", 0, is_overdue=True)
+        self.assertTrue(self.suspicions.note_late_answer("s"))
+        self.assertEqual(self.suspicions, Suspicions())
+
+    def test_late_answer_does_not_excuse_a_failed_request(self):
+        self.suspicions.note_failure("s", 0, is_overdue=True)
+        self.fail(10)
+        self.assertFalse(self.suspicions.note_late_answer("s"))
+
+    def test_request_overdue_after_a_failure_is_no_milder(self):
+        self.fail(0)
+        self.suspicions.note_failure("s", UNDER_WAY_MS, is_overdue=True)
+        self.assertFalse(self.suspicions.note_late_answer("s"))
+
+    def test_lateness_long_after_a_failure_stands_alone(self):
+        until_ms = self.fail(0)
+        self.suspicions.note_failure("s", until_ms, is_overdue=True)
+        self.assertTrue(self.suspicions.note_late_answer("s"))
