limits: the shared budget of second tries counts a sliding window

Ruled out: a larger percentage; the rule's ratio is 0.2, ours 0.18. Change: a pool counts grants and requests of the last 10 s. It still starts empty, and entries that come from another pool bring their extra over a window.

--- a/src/cinderway/control/_retry_pools.py
+++ b/src/cinderway/control/_retry_pools.py
@@ -25,7 +25,7 @@
         self, service: ServiceName, requests: int, entries: int, now_ms: int
     ) -> None:
         """Note first requests of a service."""
-        self._pool_of(service, entries, now_ms).earn(requests)
+        self._pool_of(service, entries, now_ms).earn(requests, now_ms)
 
     def take(self, service: ServiceName, entries: int, now_ms: int) -> bool:
         """Take one retry; False if there is none left."""
