entry: ask again for a second try that is refused for the moment

Cause: the budget was asked once, when the first server was slow; refused then, a hanging read waited for its whole time-out although the budget gains one every few tenths of a second. Ruled out: asking from the start, which would spend the budget on requests that are merely slow. Change: a second try is asked for every 150 ms, as long as its answer can still come.

--- a/src/cinderway/entry/_attempts.py
+++ b/src/cinderway/entry/_attempts.py
@@ -17,7 +17,7 @@
 from cinderway.entry._dispatch import Dispatcher
 from cinderway.entry._outcomes import OutcomeError, outcome_of_attempt
 from cinderway.entry._policies import hedge_after_ms
-from cinderway.entry._race import race
+from cinderway.entry._race import Hedge, race
 from cinderway.entry._relay import WholeAnswer, read_whole
 from cinderway.entry._requests import CallerRequest
 from cinderway.ledger import Resolution
@@ -126,8 +126,6 @@
             return await attempt()
 
         async def may_hedge() -> bool:
-            if len(request.tried) >= request.server_limit:
-                return False
             if not await self.budget.spend(service):
                 return False
             self.metrics.count("hedges_total", {"service": service.row.name})
@@ -135,7 +133,11 @@
 
         pace = self.dispatcher.evidence.pace(service.row.name)
         after_ms = hedge_after_ms(pace, request.objective_ms)
-        return await race(attempt, after_ms, may_hedge)
+        until_ms = request.deadline_ms - pace.usual_ms
+        if len(request.tried) + 1 >= request.server_limit:
+            return await attempt()
+        hedge = Hedge(monotonic_ms() + after_ms, until_ms, may_hedge)
+        return await race(attempt, hedge)
 
     async def may_retry(
         self,
--- a/src/cinderway/entry/_race.py
+++ b/src/cinderway/entry/_race.py
@@ -1,15 +1,19 @@
 """Two attempts at one repeatable request: the first good answer wins."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import anyio
 
+from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError
 from cinderway.entry._outcomes import outcome_of_attempt
 from cinderway.entry._relay import WholeAnswer
 from cinderway.ledger import Resolution
 
 SERVER_ERROR = 500
+# The budget that second attempts are paid from gains one every few tenths of a second.
+ASK_AGAIN_MS = 150
 
 AttemptRunner = Callable[[], Awaitable[WholeAnswer]]
 
@@ -60,21 +64,42 @@
         raise self._error
 
 
-async def race(
-    attempt: AttemptRunner,
-    hedge_after_ms: float,
-    may_hedge: Callable[[], Awaitable[bool]],
-) -> WholeAnswer:
+@dataclass(frozen=True)
+class Hedge:
+    """When a second attempt may begin, on the monotonic clock, and who allows it.
+
+    Where that is refused for the moment, it is asked for again until `until_ms`.
+    """
+
+    from_ms: float
+    until_ms: float
+    is_allowed: Callable[[], Awaitable[bool]]
+
+
+async def race(attempt: AttemptRunner, hedge: Hedge) -> WholeAnswer:
     """Attempt, and once more beside it if there is no answer after a while."""
     runners = Race()
     async with anyio.create_task_group() as tasks:
         runners.enter()
         tasks.start_soon(runners.run, attempt)
-        with anyio.move_on_after(hedge_after_ms / 1000):
-            await runners.wait()
-        if not runners.is_settled and await may_hedge():
+        if await _wait_to_hedge(runners, hedge):
             runners.enter()
             tasks.start_soon(runners.run, attempt)
         await runners.wait()
         tasks.cancel_scope.cancel()
     return runners.result()
+
+
+async def _wait_to_hedge(runners: Race, hedge: Hedge) -> bool:
+    """Return True once a second attempt is to begin, False if none is."""
+    look_at_ms = hedge.from_ms
+    while True:
+        with anyio.move_on_after(max(look_at_ms - monotonic_ms(), 0) / 1000):
+            await runners.wait()
+        if runners.is_settled:
+            return False
+        if await hedge.is_allowed():
+            return not runners.is_settled
+        look_at_ms = monotonic_ms() + ASK_AGAIN_MS
+        if look_at_ms >= hedge.until_ms:
+            return False
--- a/tests/entry/test_race.py
+++ b/tests/entry/test_race.py
@@ -2,8 +2,9 @@
 
 import anyio
 
+from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway.entry._race import race
+from cinderway.entry._race import Hedge, race
 from cinderway.entry._relay import WholeAnswer
 
 
@@ -31,7 +32,8 @@
         return is_hedged
 
     async def start():
-        return await race(attempt, 0, may_hedge)
+        now_ms = monotonic_ms()
+        return await race(attempt, Hedge(now_ms, now_ms, may_hedge))
 
     return anyio.run(start)
 
@@ -54,3 +56,41 @@
             with self.assertRaises(CinderwayError) as caught:
                 run_race(failure(steps[0]), failure(steps[1]))
             self.assertIs(caught.exception.step, Step.AWAIT_ANSWER)
+
+    def test_a_second_attempt_that_is_refused_at_first_is_asked_for_again(self):
+        refusals = [False, False, True]
+        begun = []
+
+        async def attempt():
+            begun.append(True)
+            if len(begun) == 1:
+                await anyio.sleep_forever()
+            return answer(200)
+
+        async def may_hedge():
+            return refusals.pop(0)
+
+        async def start():
+            now_ms = monotonic_ms()
+            return await race(attempt, Hedge(now_ms, now_ms + 60_000, may_hedge))
+
+        self.assertEqual(anyio.run(start).status, 200)
+        self.assertEqual((len(begun), refusals), (2, []))
+
+    def test_none_is_asked_for_when_it_would_come_too_late(self):
+        asked = []
+
+        async def attempt():
+            await anyio.sleep(0.3)
+            return answer(200)
+
+        async def may_hedge():
+            asked.append(True)
+            return False
+
+        async def start():
+            now_ms = monotonic_ms()
+            return await race(attempt, Hedge(now_ms, now_ms, may_hedge))
+
+        self.assertEqual(anyio.run(start).status, 200)
+        self.assertEqual(asked, [True])
