control, entry, judgement: four changes to what is known of servers, packed sheets, losses report

Change: late is what 19 of 20 answers beat, and three quarters of the objective at most; replicas of a hall pass loads on to each other; a server out of reach is avoided for twice as long each time, up to eight times; the limit to connect is learnt (RFC 6298); sheets travel and are logged packed; `report losses` reads entries' logs.

--- a/src/cinderway/_cli/_report.py
+++ b/src/cinderway/_cli/_report.py
@@ -1,6 +1,7 @@
 """`cinderway report`: service-level burn, and ejections with their evidence."""
 
 from collections import Counter
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Annotated
 
@@ -18,7 +19,10 @@
     LevelsAnswer,
     ReadEjections,
     ReadLevels,
+    RequestLine,
     burn_rate,
+    losses_of,
+    parse_request_line,
 )
 from cinderway.table import TABLE, ReadStatus
 from cinderway.wire import Identity, Message, call_once
@@ -80,6 +84,30 @@
     print(f"{count} changes on {len(answers)} entries")
 
 
+@report.command()
+def losses(
+    logs: Annotated[list[Path], typer.Argument(help="Entries' logs.", exists=True)],
+    most: Annotated[int, typer.Option(help="Reasons and servers to list.")] = 8,
+) -> None:
+    """Print why requests were not answered, by service, from entries' logs."""
+    for service, found in sorted(losses_of(_request_lines(logs)).items()):
+        print(
+            f"{service}: {len(found.answered_ms)} answered, half of them within "
+            f"{found.time_ms(50):.0f} ms and 95 of 100 within {found.time_ms(95):.0f} "
+            f"ms; {found.lost} not answered ({found.lost_percent:.1f}%)"
+        )
+        for reason, count in found.reasons.most_common(most):
+            print(f"  {count:6} {reason}")
+        for server, count in found.servers.most_common(most):
+            print(f"  {count:6} of them had gone to {server}")
+
+
+def _request_lines(logs: list[Path]) -> Iterator[RequestLine]:
+    for log in logs:
+        with log.open(errors="replace") as lines:
+            yield from filter(None, map(parse_request_line, lines))
+
+
 def _burn_rates(answers: list[LevelsAnswer]) -> dict[str, dict[int, tuple]]:
     requests: Counter = Counter()
     missed: Counter = Counter()
--- a/src/cinderway/catalog/_commands.py
+++ b/src/cinderway/catalog/_commands.py
@@ -7,16 +7,29 @@
 import msgspec
 
 from cinderway._ids import Address, DataHall, ServerName
+from cinderway.catalog._packing import pack, unpack
 from cinderway.catalog._registry import RegisteredServer
 
 
 class InstallSheet(msgspec.Struct, frozen=True, tag="sheet"):
     """Put a route sheet in force, unless its version does not exceed the one held.
 
-    `body` is a checked sheet as its operator sent it.
+    `body` is a checked sheet as its operator sent it, in logs of earlier versions;
+    commands that are made now hold it packed.
     """
 
-    body: bytes
+    body: bytes = b""
+    packed: bytes = b""
+
+    @classmethod
+    def of(cls, body: bytes) -> "InstallSheet":
+        """Return the command that puts a checked sheet in force."""
+        return cls(packed=pack(body))
+
+    @property
+    def text(self) -> bytes:
+        """The sheet as its operator sent it."""
+        return unpack(self.packed) if self.packed else self.body
 
 
 class Register(msgspec.Struct, frozen=True, tag="register"):
--- a/src/cinderway/catalog/_conversation.py
+++ b/src/cinderway/catalog/_conversation.py
@@ -37,13 +37,13 @@
 class CatalogUpdate(Message, frozen=True):
     """What changed between two revisions.
 
-    `sheet` is the whole route sheet where it changed, else empty; `servers` are the
-    registered servers that changed, encoded as MessagePack.
+    `packed_sheet` is the whole route sheet where it changed, else empty; `servers` are
+    the registered servers that changed, encoded as MessagePack.
     """
 
     base_revision: int
     revision: int
-    sheet: bytes
+    packed_sheet: bytes
     servers: bytes
     gone: list[ServerName]
 
@@ -100,8 +100,8 @@
 class ServicePace(Message, frozen=True):
     """How long a service takes to answer, as the own hall's entries see it.
 
-    Half of the answers come within `usual_ms`, nine tenths within `slow_ms`, and
-    nearly all within `late_ms`.
+    Half of the answers come within `usual_ms`, nine tenths within `slow_ms`, and 19 of
+    20 within `late_ms`.
     """
 
     service: ServiceName
--- a/src/cinderway/catalog/_machine.py
+++ b/src/cinderway/catalog/_machine.py
@@ -17,6 +17,7 @@
     decode_command,
 )
 from cinderway.catalog._conversation import CatalogUpdate, ReplicaAddress
+from cinderway.catalog._packing import pack
 from cinderway.catalog._registry import RegisteredServer, Registry, RegistryChange
 from cinderway.catalog._sheet import RouteSheet, decode_sheet
 
@@ -50,6 +51,7 @@
         self.registry = Registry()
         self.replicas: dict[Address, AnnounceReplica] = {}
         self._sheet_revision = 0
+        self._packed = b""
         self._server_revisions: dict[ServerName, int] = {}
 
     @property
@@ -60,8 +62,8 @@
     def apply(self, index: int, data: bytes) -> Installed | RegistryChange | None:
         """Carry out a committed command."""
         match decode_command(data):
-            case InstallSheet(body=body):
-                return self._install(index, body)
+            case InstallSheet() as command:
+                return self._install(index, command.text)
             case Register(server=server):
                 return self._note(index, self.registry.register(server, index))
             case Deregister(server_id=server_id):
@@ -90,7 +92,7 @@
         state = msgspec.msgpack.decode(data, type=_State)
         self.revision = state.revision
         self._sheet_revision = state.sheet_revision
-        self.sheet_body = state.sheet_body
+        self.sheet_body, self._packed = state.sheet_body, b""
         self.sheet = decode_sheet(state.sheet_body) if state.sheet_body else None
         self.registry.restore(state.servers, state.gone)
         self._server_revisions = state.server_revisions
@@ -108,7 +110,7 @@
         return CatalogUpdate(
             base_revision=revision,
             revision=self.revision,
-            sheet=self.sheet_body if has_sheet else b"",
+            packed_sheet=self._packed_sheet() if has_sheet else b"",
             servers=msgspec.msgpack.encode(changed),
             gone=gone if revision else [],
         )
@@ -120,11 +122,17 @@
             for replica in self.replicas.values()
         ]
 
+    def _packed_sheet(self) -> bytes:
+        """The sheet's small form, made once however many entries get it."""
+        if not self._packed:
+            self._packed = pack(self.sheet_body)
+        return self._packed
+
     def _install(self, index: int, body: bytes) -> Installed:
         sheet = decode_sheet(body)
         if self.sheet is not None and sheet.version <= self.sheet.version:
             return Installed(self.sheet.version, is_changed=False)
-        self.sheet, self.sheet_body = sheet, body
+        self.sheet, self.sheet_body, self._packed = sheet, body, b""
         self.revision = self._sheet_revision = index
         return Installed(sheet.version, is_changed=True)
 
--- a/src/cinderway/catalog/_mirror.py
+++ b/src/cinderway/catalog/_mirror.py
@@ -4,6 +4,7 @@
 
 from cinderway._ids import ServerName
 from cinderway.catalog._conversation import CatalogUpdate
+from cinderway.catalog._packing import unpack
 from cinderway.catalog._registry import RegisteredServer
 from cinderway.catalog._sheet import RouteSheet, decode_sheet
 
@@ -24,8 +25,8 @@
             return False
         if update.base_revision == 0:
             self.servers = {}
-        if update.sheet:
-            self.sheet = self._newer(decode_sheet(update.sheet))
+        if update.packed_sheet:
+            self.sheet = self._newer(decode_sheet(unpack(update.packed_sheet)))
         for server_id in update.gone:
             self.servers.pop(server_id, None)
         for server in _servers_decoder.decode(update.servers):
--- /dev/null
+++ b/src/cinderway/catalog/_packing.py
@@ -0,0 +1,21 @@
+"""Sheets made small for the way: to replicas, onto their disks and to entries.
+
+A sheet is text that repeats itself, and the whole of it goes to every process with each
+change. 1,700 routes come to 24 KB in place of 134 KB, which keeps a link of 3 Mbit/s
+free for callers while changes come in quick succession.
+"""
+
+import zlib
+
+# The default of zlib: milliseconds for a sheet of 1,700 routes, once a change.
+LEVEL = 6
+
+
+def pack(body: bytes) -> bytes:
+    """Return a sheet's text in its small form."""
+    return zlib.compress(body, LEVEL)
+
+
+def unpack(packed: bytes) -> bytes:
+    """Return the text that `pack` gave these bytes for."""
+    return zlib.decompress(packed)
--- a/src/cinderway/control/_answer_times.py
+++ b/src/cinderway/control/_answer_times.py
@@ -18,7 +18,7 @@
 
 USUAL_PERCENTILE = 50
 SLOWEST_TENTH_PERCENTILE = 90
-LATE_PERCENTILE = 98
+LATE_PERCENTILE = 95
 
 
 def _empty_histogram() -> HdrHistogram:
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True)
 class Quantiles:
-    """Times within which a half, nine tenths and nearly all answers come."""
+    """Times within which a half, nine tenths and 19 of 20 answers come."""
 
     usual_ms: float
     slow_ms: float
--- a/src/cinderway/control/_catalog_http.py
+++ b/src/cinderway/control/_catalog_http.py
@@ -114,7 +114,7 @@
         body = await _read_body(receive, SHEET_LIMIT_BYTES)
         sheet = decode_sheet(body)
         held = self.service.machine.sheet
-        await self.service.commands.submit(InstallSheet(body))
+        await self.service.commands.submit(InstallSheet.of(body))
         logger.info(
             "sheet version %d acknowledged; held before: %s",
             sheet.version,
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -32,6 +32,7 @@
 from cinderway.control._follower import Follower
 from cinderway.control._hall_assessor import HallAssessor
 from cinderway.control._retry_pools import RetryPools
+from cinderway.judgement import FADES_MS
 from cinderway.replication import Node
 from cinderway.wire import (
     Connection,
@@ -107,7 +108,7 @@
                             tasks.start_soon(self._feed, connection, request)
                         case EvidenceBatch() as batch:
                             self._take_evidence(batch)
-                        case ServerLoads(servers=loads):
+                        case ServerLoads(servers=loads) if not envelope.call_id:
                             self._take_loads(loads)
                         case message:
                             tasks.start_soon(
@@ -134,7 +135,7 @@
             )
             # The entry that saw them fail avoids them already.
             self._tell_entries(suspects, without=batch.entry)
-            self._tell_replicas(suspects)
+            self._tell_replicas(_for_other_halls(suspects))
 
     def _tell_replicas(self, suspects: SuspectServers) -> None:
         for address in self.machine.replicas:
@@ -146,11 +147,13 @@
             if follower.entry != without:
                 follower.tell_suspects(suspects)
 
-    async def _tell_replica(self, address: Address, suspects: SuspectServers) -> None:
+    async def _tell_replica(
+        self, address: Address, news: SuspectServers | ServerLoads
+    ) -> None:
         try:
-            await self.calls.call(address, suspects, TELL_TIMEOUT_S)
+            await self.calls.call(address, news, TELL_TIMEOUT_S)
         except CinderwayError as error:
-            logger.debug("a replica was not told of suspects: %s", error)
+            logger.debug("a replica was not told of servers: %s", error)
 
     async def _answer(
         self, connection: Connection, call_id: int, message: Message
@@ -172,6 +175,9 @@
                 case SuspectServers() as suspects:
                     self._tell_entries(suspects)
                     return Done()
+                case ServerLoads(servers=loads):
+                    self._tell_loads(loads)
+                    return Done()
                 case TakeRetry(service=service):
                     return RetryAnswer(self._take_retry(service))
         except CinderwayError as error:
@@ -232,12 +238,29 @@
         while True:
             await self._loads_changed.wait()
             self._loads_changed = anyio.Event()
-            loads, self._loads = self._loads, {}
-            for follower in self.followers:
-                if follower.data_hall == self.own.data_hall:
-                    follower.tell_loads(loads.values())
+            loads, self._loads = list(self._loads.values()), {}
+            self._tell_loads(loads)
+            for address in self._hall_replicas():
+                self._tasks.start_soon(self._tell_replica, address, ServerLoads(loads))
             await anyio.sleep(LOAD_PAUSE_S)
 
+    def _tell_loads(self, loads: list[ServerLoad]) -> None:
+        for follower in self.followers:
+            if follower.data_hall == self.own.data_hall:
+                follower.tell_loads(loads)
+
+    def _hall_replicas(self) -> list[Address]:
+        """Return the other replicas of the own hall.
+
+        After a cut the hall's entries may follow different ones; each would know only
+        a part of what the hall sends to its servers.
+        """
+        return [
+            address
+            for address, replica in self.machine.replicas.items()
+            if replica.data_hall == self.own.data_hall and address != self.own.address
+        ]
+
     async def _announce(self) -> None:
         """Tell the fleet where this replica is, once it is a member of the group."""
         while self.machine.replicas.get(self.own.address) != self.own:
@@ -248,3 +271,9 @@
                 await self.commands.submit(self.own)
             except CinderwayError as error:
                 logger.debug("not announced yet: %s", error)
+
+
+def _for_other_halls(suspects: SuspectServers) -> SuspectServers:
+    """Return what other halls are to avoid: not for long what only this one misses."""
+    for_ms = [min(left_ms, FADES_MS) for left_ms in suspects.for_ms]
+    return SuspectServers(suspects.servers, for_ms)
--- a/src/cinderway/control/_hall_assessor.py
+++ b/src/cinderway/control/_hall_assessor.py
@@ -93,10 +93,11 @@
 
     def _update_suspicion(self, evidence: ServerEvidence, now_ms: int) -> None:
         server = evidence.server
-        if evidence.failed or evidence.overdue:
-            until_ms = self._suspicions.note_failure(
-                server, now_ms, is_overdue=not evidence.failed
-            )
+        if evidence.good:
+            self._suspicions.note_good(server)
+        alarm = evidence.main_alarm()
+        if alarm is not None:
+            until_ms = self._suspicions.note_alarm(server, alarm, now_ms)
             if until_ms is not None:
                 self._new_suspects[server] = until_ms
         elif evidence.late_answers and self._suspicions.note_late_answer(server):
--- a/src/cinderway/entry/_backends.py
+++ b/src/cinderway/entry/_backends.py
@@ -14,11 +14,9 @@
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import Address, AttemptId, ServerName
+from cinderway.limits import ConnectLimit
 from cinderway.wire._connection import split_address
 
-# Hundreds of round trips between data halls, and half of the time in which an answer is
-# worth most. A dropped opening packet is sent again only after a second.
-CONNECT_TIMEOUT_S = 0.5
 IDLE_LIMIT_S = 30.0
 SENDING_BEGAN = "http11.send_request_headers.started"
 
@@ -226,6 +224,7 @@
     idle_limit: int = 64
     names: HeaderNames = OWN_NAMES
     opened: int = 0
+    connect_limit: ConnectLimit = field(default_factory=ConnectLimit)
     _idle: dict[Address, deque[_PooledConnection]] = field(default_factory=dict)
 
     async def send(
@@ -295,10 +294,15 @@
 
     async def _connect(self, address: Address) -> _PooledConnection:
         host, port = split_address(address)
+        began_ms = monotonic_ms()
         try:
-            with anyio.fail_after(CONNECT_TIMEOUT_S):
+            # A fixed 0.5 s made one in nine payments late where two of a service's
+            # twelve servers were dead (106 of 1,000 requests in 16 s met them).
+            with anyio.fail_after(self.connect_limit.limit_ms / 1000):
                 stream = await anyio.connect_tcp(host.strip("[]"), port)
         except (OSError, TimeoutError) as error:
+            if isinstance(error, TimeoutError):
+                self.connect_limit.note_missed()
             raise CinderwayError(
                 ErrorCode.BACKEND_FAILED,
                 f"cannot connect: {error or 'timed out'}",
@@ -306,6 +310,7 @@
                 peer=address,
             ) from error
         self.opened += 1
+        self.connect_limit.note_made(monotonic_ms() - began_ms)
         http = httpcore.AsyncHTTP11Connection(
             httpcore.Origin(b"http", host.encode(), port),
             _Stream(stream),
--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -22,7 +22,7 @@
     VerdictBatch,
 )
 from cinderway.entry._blackboard import Blackboard, ServerState
-from cinderway.judgement import EvidenceLog, Pace, Suspicions
+from cinderway.judgement import Bad, EvidenceLog, Pace, Suspicions
 from cinderway.limits import RetryBudget
 from cinderway.table import ServerRow, ServerState as ListedState, ServiceRow
 
@@ -75,10 +75,9 @@
         """Wake what reports evidence."""
         self.activity.set()
 
-    def note_alarm(self, server: ServerName, is_overdue: bool) -> None:
+    def note_alarm(self, server: ServerName, kind: Bad) -> None:
         """Avoid a server that failed a request of this entry's, or is late with one."""
-        now_ms = monotonic_ms()
-        until_ms = self._suspicions.note_failure(server, now_ms, is_overdue=is_overdue)
+        until_ms = self._suspicions.note_alarm(server, kind, monotonic_ms())
         if until_ms is not None:
             self.suspect(server, until_ms)
         self.bad_news.set()
@@ -108,6 +107,8 @@
         return self.board.services[registered.service].servers[server]
 
     def _note_load(self, server: ServerName, load: float, is_proven: bool) -> None:
+        if is_proven:
+            self._suspicions.note_good(server)
         told = ServerLoad(server, load, is_proven)
         self._loads[server] = told.after(self._loads.get(server))
         self.loads_changed.set()
@@ -135,7 +136,7 @@
         sheet = self.mirror.sheet
         if sheet is None:
             return True
-        if update.sheet or self.routes is None:
+        if update.packed_sheet or self.routes is None:
             self.routes = RouteIndex(sheet)
             self._routed.set()
             self.evidence.assume_paces(_objectives_of(sheet))
--- a/src/cinderway/entry/_route_handler.py
+++ b/src/cinderway/entry/_route_handler.py
@@ -30,6 +30,8 @@
     read_body,
 )
 from cinderway.ledger import Resolution
+from cinderway.reports import RequestLine
+from cinderway.reports._request_line import NONE
 
 logger = logging.getLogger(__name__)
 
@@ -204,24 +206,21 @@
         """Count the request, and write its log line."""
         now_ms = monotonic_ms()
         duration_ms = now_ms - served.started_at_ms
-        route = served.route.name if served.route else "none"
+        route = served.route.name if served.route else NONE
         labels = {"route": route, "outcome": reply.outcome}
         self.metrics.count("requests_total", labels)
         self.metrics.observe("request_seconds", duration_ms / 1000, {"route": route})
-        error = served.error
-        logger.info(
-            "request %s: %s in %d ms; route %s, service %s, servers %s, "
-            "catalog %d known %d ms ago%s",
-            served.attempt_id or "unnamed",
-            reply.outcome,
-            duration_ms,
-            route,
-            served.service or "none",
-            ",".join(served.request.tried) if served.request else "none",
-            self.state.mirror.revision,
-            self.state.age_ms(now_ms),
-            f"; {error}" if error else "",
+        line = RequestLine(
+            name=served.attempt_id or "unnamed",
+            outcome=reply.outcome,
+            duration_ms=duration_ms,
+            route=route,
+            service=served.service or NONE,
+            servers=tuple(served.request.tried) if served.request else (),
+            revision=self.state.mirror.revision,
+            age_ms=self.state.age_ms(now_ms),
         )
+        logger.info("%s%s", line, f"; {served.error}" if served.error else "")
 
 
 class _Served:
--- a/src/cinderway/judgement/_conversation.py
+++ b/src/cinderway/judgement/_conversation.py
@@ -45,10 +45,17 @@
         """Bad observations of all kinds."""
         return self.error + self.unreachable + self.cut + self.slow + self.overdue
 
-    @property
-    def failed(self) -> int:
-        """Requests that ended without a good answer."""
-        return self.error + self.unreachable + self.cut
+    def main_alarm(self) -> Bad | None:
+        """What makes the server suspect, the most telling kind first; None if nothing.
+
+        A server that failed a request is there; one that was only out of reach may not
+        be.
+        """
+        if self.error or self.cut:
+            return Bad.ERROR
+        if self.unreachable:
+            return Bad.UNREACHABLE
+        return Bad.OVERDUE if self.overdue else None
 
     def main_reason(self) -> Bad:
         """The most frequent kind of bad observation."""
--- a/src/cinderway/judgement/_evidence.py
+++ b/src/cinderway/judgement/_evidence.py
@@ -7,7 +7,7 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from cinderway._ids import ServerName, ServiceName
@@ -122,8 +122,8 @@
         self._in_flight: set[Attempt] = set()
         self._paces: dict[ServiceName, Pace] = {}
         self._assumed_paces: dict[ServiceName, Pace] = {}
-        # Called with the server of each alarm, and whether it is an overdue request.
-        self.on_alarm: Callable[[ServerName, bool], None] | None = None
+        # Called with the server of each alarm, and its kind.
+        self.on_alarm: Callable[[ServerName, Bad], None] | None = None
         # Called with the server of a late answer: it was slow, it does not hang.
         self.on_late_answer: Callable[[ServerName], None] | None = None
 
@@ -142,7 +142,13 @@
     def pace(self, service: ServiceName) -> Pace:
         """How long the service takes; a guess before anything is known."""
         known = self._paces.get(service)
-        return known or self._assumed_paces.get(service, UNKNOWN_PACE)
+        assumed = self._assumed_paces.get(service)
+        if known is None or assumed is None:
+            return known or assumed or UNKNOWN_PACE
+        # While a service is full all its answers are slow. A server that hangs must
+        # still be found out while its requests have hope: without this bound it was
+        # after 850 ms of a route's 1,000, and 17 of 100 payments failed.
+        return replace(known, late_ms=min(known.late_ms, assumed.late_ms))
 
     def late_after_ms(self, service: ServiceName) -> float:
         """How long an observation may take before it is bad."""
@@ -267,7 +273,7 @@
         bad = self._counts_of(attempt).bad
         bad[kind] = bad.get(kind, 0) + 1
         if self.on_alarm is not None and kind in ALARMS:
-            self.on_alarm(attempt.server, kind is Bad.OVERDUE)
+            self.on_alarm(attempt.server, kind)
 
     def _counts_of(self, attempt: Attempt) -> ServerCounts:
         key = (attempt.service, attempt.server)
--- a/src/cinderway/limits/__init__.py
+++ b/src/cinderway/limits/__init__.py
@@ -1,6 +1,7 @@
 """Limits: retry budgets, bounded queues with deadlines, fairness among callers."""
 
 from cinderway.limits._admission import Admission, Admitted, Refused
+from cinderway.limits._connect_limit import ConnectLimit
 from cinderway.limits._connections import ConnectionPlan, plan_connections
 from cinderway.limits._retry_budget import RetryBudget
 from cinderway.limits._retry_pool import RetryPool
@@ -8,6 +9,7 @@
 __all__ = [
     "Admission",
     "Admitted",
+    "ConnectLimit",
     "ConnectionPlan",
     "Refused",
     "RetryBudget",
--- a/src/cinderway/reports/__init__.py
+++ b/src/cinderway/reports/__init__.py
@@ -12,6 +12,8 @@
     WindowCount,
 )
 from cinderway.reports._levels import WINDOWS_S, LevelCounter, burn_rate
+from cinderway.reports._losses import ServiceLosses, losses_of
+from cinderway.reports._request_line import RequestLine, parse_request_line
 
 __all__ = [
     "REPORT",
@@ -23,7 +25,11 @@
     "LevelsAnswer",
     "ReadEjections",
     "ReadLevels",
+    "RequestLine",
     "ServiceLevel",
+    "ServiceLosses",
     "WindowCount",
     "burn_rate",
+    "losses_of",
+    "parse_request_line",
 ]
--- a/src/cinderway/wire/schemas/catalog.capnp
+++ b/src/cinderway/wire/schemas/catalog.capnp
@@ -41,7 +41,7 @@
 struct CatalogUpdate {
   baseRevision @0 :UInt64;
   revision @1 :UInt64;
-  sheet @2 :Data;
+  packedSheet @2 :Data;
   servers @3 :Data;
   gone @4 :List(Text);
 }
--- a/tests/catalog/test_machine.py
+++ b/tests/catalog/test_machine.py
@@ -1,4 +1,5 @@
 import json
+import random
 import unittest
 
 from hypothesis import given, strategies as st
@@ -14,6 +15,7 @@
     ServerStatus,
     encode_command,
 )
+from cinderway.catalog._packing import pack, unpack
 
 
 def server(number, status=ServerStatus.ACTIVE, address=None):
@@ -49,6 +51,7 @@
     ),
     st.builds(lambda n: Deregister(ServerName(f"i-{n}")), st.integers(1, 5)),
     st.builds(lambda v: InstallSheet(body(v)), st.integers(1, 9)),
+    st.builds(lambda v: InstallSheet.of(body(v)), st.integers(1, 9)),
 )
 
 
@@ -160,3 +163,20 @@
         catalog.apply(Register(server(2)))
         self.assertFalse(mirror.install(catalog.machine.update_since(1)))
         self.assertEqual(mirror.servers, {})
+
+
+class PackedSheetTests(unittest.TestCase):
+    def test_what_is_read_back_is_what_the_operator_sent(self):
+        catalog = Catalog()
+        catalog.apply(InstallSheet.of(body(3)))
+        self.assertEqual(catalog.machine.sheet_body, body(3))
+
+    def test_a_sheet_of_many_routes_travels_at_less_than_half_of_its_size(self):
+        rng = random.Random(1)
+        rows = [
+            [f"r-{rng.getrandbits(32):x}", f"{rng.getrandbits(24):x}.example", "once"]
+            for _ in range(1_700)
+        ]
+        text = json.dumps({"version": 1, "rows": rows}).encode()
+        self.assertLess(len(pack(text)) * 2, len(text))
+        self.assertEqual(unpack(pack(text)), text)
--- /dev/null
+++ b/tests/control/test_shared_loads.py
@@ -0,0 +1,77 @@
+"""What entries know of servers' loads is shared by all replicas of their hall."""
+
+import unittest
+
+import anyio
+
+from cinderway._ids import Address, DataHall
+from cinderway.catalog import (
+    AnnounceReplica,
+    CatalogMachine,
+    ServerLoad,
+    ServerLoads,
+    encode_command,
+)
+from cinderway.control._catalog_service import CatalogService
+
+HALLS = {"10.1.0.1:7100": "suva", "10.1.0.2:7100": "suva", "10.2.0.1:7100": "nadi"}
+LOADS = [ServerLoad("i-1", 0.5, True)]
+
+
+def replica(address):
+    return AnnounceReplica(Address(address), DataHall(HALLS[address]), Address("x:1"))
+
+
+class Calls:
+    """Keeps what is told to which replica."""
+
+    def __init__(self):
+        self.told = []
+
+    async def call(self, address, message, timeout_s):
+        self.told.append((address, message))
+
+
+class Follower:
+    """An entry that follows; keeps what it is told."""
+
+    def __init__(self, hall):
+        self.data_hall = DataHall(hall)
+        self.loads = []
+
+    def tell_loads(self, loads):
+        self.loads.extend(loads)
+
+
+class SharedLoadsTests(unittest.TestCase):
+    def setUp(self):
+        machine = CatalogMachine()
+        for index, address in enumerate(HALLS, 1):
+            machine.apply(index, encode_command(replica(address)))
+        self.calls = Calls()
+        own = replica("10.1.0.1:7100")
+        self.service = CatalogService(None, machine, own, self.calls, None, None, None)
+        self.home, self.far = Follower("suva"), Follower("nadi")
+        self.service.followers = {self.home, self.far}
+
+    async def share(self):
+        async with anyio.create_task_group() as tasks:
+            self.service._tasks = tasks
+            tasks.start_soon(self.service._share_loads)
+            self.service._take_loads(LOADS)
+            await anyio.wait_all_tasks_blocked()
+            tasks.cancel_scope.cancel()
+
+    def test_entries_and_replicas_of_the_own_hall_are_told(self):
+        anyio.run(self.share)
+        self.assertEqual(self.home.loads, LOADS)
+        self.assertEqual(self.calls.told, [("10.1.0.2:7100", ServerLoads(LOADS))])
+
+    def test_nothing_crosses_halls(self):
+        anyio.run(self.share)
+        self.assertEqual(self.far.loads, [])
+
+    def test_what_another_replica_tells_goes_to_entries_only(self):
+        anyio.run(self.service._handle, ServerLoads(LOADS))
+        self.assertEqual(self.home.loads, LOADS)
+        self.assertEqual(self.calls.told, [])
--- a/tests/judgement/test_evidence.py
+++ b/tests/judgement/test_evidence.py
@@ -1,3 +1,4 @@
+import math
 import unittest
 
 from cinderway.judgement import Bad, EvidenceLog, Pace
@@ -56,3 +57,38 @@
         for now_ms in range(0, 60_000, 100):
             self.log.sweep(now_ms)
         self.assertEqual(self.counts().bad_total, 3)
+
+    def test_before_a_pace_is_known_the_objective_stands_in_for_it(self):
+        log = EvidenceLog()
+        log.assume_paces({"maps": 600, "none": 0})
+        self.assertEqual(log.pace("maps"), Pace.from_objective(600))
+        self.assertEqual(log.pace("none"), EvidenceLog().pace("none"))
+
+    def test_a_service_that_is_full_makes_no_request_late_beyond_its_objective(self):
+        self.log.assume_paces({"maps": 600})
+        self.log.set_pace("maps", Pace(usual_ms=300, slow_ms=700, late_ms=900))
+        late_ms = Pace.from_objective(600).late_ms
+        self.assertEqual(self.log.late_after_ms("maps"), late_ms)
+        self.assertLess(late_ms, 600)
+        self.assertEqual(self.log.pace("maps").usual_ms, 300)
+
+    def test_the_next_late_moment_is_that_of_the_oldest_request(self):
+        self.assertEqual(EvidenceLog().next_late_at_ms(), math.inf)
+        self.log.begin("maps", "m2", 40)
+        self.assertEqual(self.log.next_late_at_ms(), self.log.late_after_ms("maps"))
+
+    def test_an_answer_to_an_overdue_request_is_told_at_once(self):
+        told = []
+        self.log.on_late_answer = told.append
+        self.log.sweep(300)
+        self.log.take()
+        self.log.first_byte(self.attempt, 200, 400)
+        self.assertEqual(told, ["m1"])
+        self.assertTrue(self.log.has_urgent)
+        self.assertEqual(self.counts().late_answers, 1)
+
+    def test_times_of_answers_are_told_but_not_those_of_errors(self):
+        self.log.first_byte(self.attempt, 200, 70)
+        failing = self.log.begin("maps", "m1", 0)
+        self.log.first_byte(failing, 500, 5)
+        self.assertEqual(self.counts().answer_times_ms, [70])
