entry, control: entries of a hall tell each other their news while control is away

Each then knows only what it sees itself, one request a second. Ruled out: following replicas of other halls (they are cut off too). Change: an entry gives the address at which it hears its hall to the replica, which tells the hall's entries of each other; one that follows no replica sends what it learns of servers by datagrams, proved by the shared key, to at most 16 of them. A replica's news (loads, suspects, entries of the hall) stands in a module of its own, behaviour unchanged.

--- a/src/cinderway/_settings/_catalog_roles.py
+++ b/src/cinderway/_settings/_catalog_roles.py
@@ -17,7 +17,13 @@
     settings_file_field,
     shared_key_field,
 )
-from cinderway._settings._parsers import integer, parse_address, parse_flag, parse_name
+from cinderway._settings._parsers import (
+    integer,
+    parse_address,
+    parse_flag,
+    parse_name,
+    parse_optional_address,
+)
 from cinderway.table import Bias
 
 
@@ -93,6 +99,12 @@
         "1 to 65535",
         "Port at which control replicas talk to the fleet's own processes.",
     )
+    peers_listen: Address = setting(
+        parse_optional_address,
+        f"{ADDRESS_FORM}, or nothing",
+        "UDP address at which the hall's entries hear each other without control.",
+        "",
+    )
     shared_key: bytes = shared_key_field()
     operators_listen: Address = operators_listen_field()
     drain_ms: int = setting(
--- a/src/cinderway/_settings/_parsers.py
+++ b/src/cinderway/_settings/_parsers.py
@@ -19,6 +19,11 @@
     return Address(text)
 
 
+def parse_optional_address(text: str) -> Address:
+    """Return an address, or the empty text for none."""
+    return parse_address(text) if text else Address("")
+
+
 def parse_addresses(text: str) -> tuple[Address, ...]:
     """Return comma-separated addresses; there may be none."""
     return tuple(parse_address(part) for part in text.split(",") if part)
--- a/src/cinderway/catalog/_conversation.py
+++ b/src/cinderway/catalog/_conversation.py
@@ -27,11 +27,15 @@
 
 
 class FollowCatalog(Message, frozen=True):
-    """Ask for the catalog beyond a revision, and for all changes from then on."""
+    """Ask for the catalog beyond a revision, and for all changes from then on.
+
+    `peers_address` is where the hall's other entries may tell this one their news.
+    """
 
     entry: EntryName
     data_hall: DataHall
     known_revision: int
+    peers_address: Address = Address("")
 
 
 class CatalogUpdate(Message, frozen=True):
@@ -157,6 +161,12 @@
     servers: list[ServerLoad]
 
 
+class HallEntries(Message, frozen=True):
+    """Where the entries of the hall hear each other while control is away."""
+
+    addresses: list[Address]
+
+
 class SubmitCommand(Message, frozen=True):
     """One replica asks the leader to replicate a command for it."""
 
@@ -176,6 +186,7 @@
         VerdictBatch,
         SuspectServers,
         ServerLoads,
+        HallEntries,
         TakeRetry,
         RetryAnswer,
         SubmitCommand,
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -11,7 +11,7 @@
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError
-from cinderway._ids import Address, EntryName, ServerName, ServiceName
+from cinderway._ids import ServiceName
 from cinderway.catalog import (
     CATALOG,
     AnnounceReplica,
@@ -22,7 +22,6 @@
     FollowCatalog,
     ReplicasAnswer,
     RetryAnswer,
-    ServerLoad,
     ServerLoads,
     SubmitCommand,
     SuspectServers,
@@ -31,8 +30,8 @@
 from cinderway.control._commands import Commands, ReplicaCalls
 from cinderway.control._follower import Follower
 from cinderway.control._hall_assessor import HallAssessor
+from cinderway.control._hall_news import HallNews
 from cinderway.control._retry_pools import RetryPools
-from cinderway.judgement import FADES_MS
 from cinderway.replication import Node
 from cinderway.wire import (
     Connection,
@@ -44,22 +43,17 @@
 
 logger = logging.getLogger(__name__)
 
-# A suspicion fades from its first moment on; told much later it is worth little.
-TELL_TIMEOUT_S = 0.3
 # Between two tries to announce this replica.
 ANNOUNCE_PAUSE_S = 0.5
 # Between two looks for observations to judge.
 ASSESS_PAUSE_S = 0.1
-# Loads that entries tell within this time are passed on together: well below the time
-# of a request, and at most fifty messages a second to an entry, however many there are.
-LOAD_PAUSE_S = 0.02
 # Stands also for a leader never heard from; the heartbeat's field has 32 bits.
 MAXIMUM_LEADER_AGE_MS = 2**31
 
 
 @dataclass
 class CatalogService:
-    """Hands out the catalog, takes evidence, grants retries, passes loads on."""
+    """Hands out the catalog, takes evidence, grants retries."""
 
     node: Node
     machine: CatalogMachine
@@ -68,10 +62,15 @@
     commands: Commands
     assessor: HallAssessor
     retry_pools: RetryPools
-    followers: set[Follower] = field(default_factory=set)
-    _loads: dict[ServerName, ServerLoad] = field(default_factory=dict)
-    _loads_changed: anyio.Event = field(default_factory=anyio.Event)
-    _tasks: anyio.abc.TaskGroup | None = None
+    news: HallNews = field(init=False)
+
+    def __post_init__(self):
+        self.news = HallNews(self.own, self.machine, self.calls)
+
+    @property
+    def followers(self) -> set[Follower]:
+        """The entries that follow here."""
+        return self.news.followers
 
     @property
     def route(self) -> Route:
@@ -81,11 +80,10 @@
     async def run(self) -> None:
         """Run until cancelled."""
         async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
             self.calls.start(tasks)
             tasks.start_soon(self._announce)
             tasks.start_soon(self._assess)
-            tasks.start_soon(self._share_loads)
+            tasks.start_soon(self.news.run)
             await self._wake_followers()
 
     def leader_age_ms(self) -> int:
@@ -109,7 +107,7 @@
                         case EvidenceBatch() as batch:
                             self._take_evidence(batch)
                         case ServerLoads(servers=loads) if not envelope.call_id:
-                            self._take_loads(loads)
+                            self.news.take_loads(loads)
                         case message:
                             tasks.start_soon(
                                 self._answer, connection, envelope.call_id, message
@@ -118,11 +116,6 @@
                 logger.debug("a conversation with %s ended: %s", name, error)
                 tasks.cancel_scope.cancel()
 
-    def _take_loads(self, loads: list[ServerLoad]) -> None:
-        for load in loads:
-            self._loads[load.server] = load.after(self._loads.get(load.server))
-        self._loads_changed.set()
-
     def _take_evidence(self, batch: EvidenceBatch) -> None:
         now_ms = monotonic_ms()
         self.assessor.take(batch, now_ms)
@@ -134,26 +127,8 @@
                 "suspect: %s; failed at %s", ",".join(suspects.servers), batch.entry
             )
             # The entry that saw them fail avoids them already.
-            self._tell_entries(suspects, without=batch.entry)
-            self._tell_replicas(_for_other_halls(suspects))
-
-    def _tell_replicas(self, suspects: SuspectServers) -> None:
-        for address in self.machine.replicas:
-            if address != self.own.address:
-                self._tasks.start_soon(self._tell_replica, address, suspects)
-
-    def _tell_entries(self, suspects: SuspectServers, without: EntryName = "") -> None:
-        for follower in self.followers:
-            if follower.entry != without:
-                follower.tell_suspects(suspects)
-
-    async def _tell_replica(
-        self, address: Address, news: SuspectServers | ServerLoads
-    ) -> None:
-        try:
-            await self.calls.call(address, news, TELL_TIMEOUT_S)
-        except CinderwayError as error:
-            logger.debug("a replica was not told of servers: %s", error)
+            self.news.tell_suspects(suspects, without=batch.entry)
+            self.news.tell_replicas_of_suspects(suspects)
 
     async def _answer(
         self, connection: Connection, call_id: int, message: Message
@@ -173,10 +148,10 @@
                     await self.commands.propose(data)
                     return Done()
                 case SuspectServers() as suspects:
-                    self._tell_entries(suspects)
+                    self.news.tell_suspects(suspects)
                     return Done()
                 case ServerLoads(servers=loads):
-                    self._tell_loads(loads)
+                    self.news.tell_loads(loads)
                     return Done()
                 case TakeRetry(service=service):
                     return RetryAnswer(self._take_retry(service))
@@ -196,6 +171,7 @@
             self.machine,
             self._heartbeat,
             lambda: self.node.core.has_caught_up,
+            request.peers_address,
         )
         self.followers.add(follower)
         logger.info(
@@ -233,34 +209,6 @@
                 if verdicts is not None:
                     follower.tell_verdicts(verdicts)
 
-    async def _share_loads(self) -> None:
-        """Pass loads on to the entries of the own hall; none cross halls."""
-        while True:
-            await self._loads_changed.wait()
-            self._loads_changed = anyio.Event()
-            loads, self._loads = list(self._loads.values()), {}
-            self._tell_loads(loads)
-            for address in self._hall_replicas():
-                self._tasks.start_soon(self._tell_replica, address, ServerLoads(loads))
-            await anyio.sleep(LOAD_PAUSE_S)
-
-    def _tell_loads(self, loads: list[ServerLoad]) -> None:
-        for follower in self.followers:
-            if follower.data_hall == self.own.data_hall:
-                follower.tell_loads(loads)
-
-    def _hall_replicas(self) -> list[Address]:
-        """Return the other replicas of the own hall.
-
-        After a cut the hall's entries may follow different ones; each would know only
-        a part of what the hall sends to its servers.
-        """
-        return [
-            address
-            for address, replica in self.machine.replicas.items()
-            if replica.data_hall == self.own.data_hall and address != self.own.address
-        ]
-
     async def _announce(self) -> None:
         """Tell the fleet where this replica is, once it is a member of the group."""
         while self.machine.replicas.get(self.own.address) != self.own:
@@ -271,9 +219,3 @@
                 await self.commands.submit(self.own)
             except CinderwayError as error:
                 logger.debug("not announced yet: %s", error)
-
-
-def _for_other_halls(suspects: SuspectServers) -> SuspectServers:
-    """Return what other halls are to avoid: not for long what only this one misses."""
-    for_ms = [min(left_ms, FADES_MS) for left_ms in suspects.for_ms]
-    return SuspectServers(suspects.servers, for_ms)
--- a/src/cinderway/control/_follower.py
+++ b/src/cinderway/control/_follower.py
@@ -10,10 +10,11 @@
 import anyio
 
 from cinderway._clock import monotonic_ms
-from cinderway._ids import DataHall, EntryName, ServerName
+from cinderway._ids import Address, DataHall, EntryName, ServerName
 from cinderway.catalog import (
     CatalogHeartbeat,
     CatalogMachine,
+    HallEntries,
     ServerLoad,
     ServerLoads,
     SuspectServers,
@@ -38,6 +39,8 @@
     heartbeat: Callable[[], CatalogHeartbeat]
     # Whether the machine holds all that was acknowledged; until then nothing is shown.
     has_caught_up: Callable[[], bool]
+    peers_address: Address = Address("")
+    _hall_entries: HallEntries | None = None
     _verdicts: VerdictBatch | None = None
     _sent_verdicts: VerdictBatch | None = None
     _suspects: list[SuspectServers] = field(default_factory=list)
@@ -60,6 +63,11 @@
             self._loads[load.server] = load.after(self._loads.get(load.server))
         self.wake()
 
+    def tell_hall_entries(self, entries: HallEntries) -> None:
+        """Send where the hall's entries hear each other."""
+        self._hall_entries = entries
+        self.wake()
+
     def tell_verdicts(self, verdicts: VerdictBatch) -> None:
         """Send these in place of earlier verdicts, if they differ."""
         if verdicts != self._verdicts:
@@ -76,6 +84,7 @@
             # Renewed before anything is looked at, so that no news is missed.
             self._news = anyio.Event()
             await self._send_update()
+            await self._send_hall_entries()
             await self._send_suspects()
             await self._send_verdicts()
             await self._send_loads()
@@ -94,6 +103,11 @@
         await self._send(update)
         self.known_revision = update.revision
 
+    async def _send_hall_entries(self) -> None:
+        if self._hall_entries is not None:
+            entries, self._hall_entries = self._hall_entries, None
+            await self._send(entries)
+
     async def _send_suspects(self) -> None:
         while self._suspects:
             await self._send(self._suspects.pop(0))
--- a/src/cinderway/entry/_backends.py
+++ b/src/cinderway/entry/_backends.py
@@ -15,7 +15,7 @@
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import Address, AttemptId, ServerName
 from cinderway.limits import ConnectLimit
-from cinderway.wire._connection import split_address
+from cinderway.wire import split_address
 
 IDLE_LIMIT_S = 30.0
 SENDING_BEGAN = "http11.send_request_headers.started"
--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -19,12 +19,14 @@
     ServerLoad,
     ServerLoads,
     ServerStatus as Status,
+    SuspectServers,
     VerdictBatch,
 )
 from cinderway.entry._blackboard import Blackboard, ServerState
 from cinderway.judgement import Bad, EvidenceLog, Pace, Suspicions
 from cinderway.limits import RetryBudget
 from cinderway.table import ServerRow, ServerState as ListedState, ServiceRow
+from cinderway.wire import Message
 
 # Of a server's weight, where no verdict says otherwise.
 FULL_SHARE = 1.0
@@ -46,6 +48,9 @@
     activity: anyio.Event = field(default_factory=anyio.Event)
     bad_news: anyio.Event = field(default_factory=anyio.Event)
     loads_changed: anyio.Event = field(default_factory=anyio.Event)
+    # Where the hall's entries hear each other while control is away.
+    peers: list[Address] = field(default_factory=list)
+    _new_suspects: dict[ServerName, int] = field(default_factory=dict)
     _loads: dict[ServerName, ServerLoad] = field(default_factory=dict)
     _routed: anyio.Event = field(default_factory=anyio.Event)
     _suspicions: Suspicions = field(default_factory=Suspicions)
@@ -79,6 +84,7 @@
         """Avoid a server that failed a request of this entry's, or is late with one."""
         until_ms = self._suspicions.note_alarm(server, kind, monotonic_ms())
         if until_ms is not None:
+            self._new_suspects[server] = until_ms
             self.suspect(server, until_ms)
         self.bad_news.set()
 
@@ -119,6 +125,25 @@
         self.loads_changed = anyio.Event()
         return ServerLoads(list(loads.values()))
 
+    def take_suspects(self, now_ms: int) -> SuspectServers:
+        """Return the servers that failed here since the last call, and still count."""
+        found, self._new_suspects = self._new_suspects, {}
+        left_ms = {server: until_ms - now_ms for server, until_ms in found.items()}
+        current = {server: ms for server, ms in left_ms.items() if ms > 0}
+        return SuspectServers(list(current), list(current.values()))
+
+    def hear(self, news: Message, now_ms: int) -> None:
+        """Take over what others of the hall know of servers."""
+        match news:
+            case SuspectServers(servers=servers, for_ms=for_ms):
+                for server, left_ms in zip(servers, for_ms, strict=True):
+                    if left_ms:
+                        self.suspect(server, now_ms + left_ms)
+                    else:
+                        self.clear(server)
+            case ServerLoads():
+                self.hear_loads(news, now_ms)
+
     def hear_loads(self, message: ServerLoads, now_ms: int) -> None:
         """Take over what other entries of the hall know."""
         for told in message.servers:
--- a/src/cinderway/entry/_catalog_daemon.py
+++ b/src/cinderway/entry/_catalog_daemon.py
@@ -22,6 +22,7 @@
 from cinderway.entry._catalog_board import CatalogBoard
 from cinderway.entry._catalog_follower import CatalogFollower
 from cinderway.entry._dispatch import Dispatcher
+from cinderway.entry._hall_peers import HallPeers
 from cinderway.entry._route_handler import RouteHandler
 from cinderway.judgement import EvidenceLog
 from cinderway.wire import Identity
@@ -57,6 +58,14 @@
         watch = SettingsWatch(settings, follower.use_settings)
         tasks.start_soon(watch.run)
         tasks.start_soon(keep_running, "catalog follower", follower.run)
+        if settings.peers_listen:
+            peers = HallPeers(
+                state,
+                settings.peers_listen,
+                settings.shared_key,
+                lambda: not follower.is_following,
+            )
+            tasks.start_soon(keep_running, "hall peers", peers.run)
         await tasks.start(
             serve_operators,
             settings.operators_listen,
--- a/src/cinderway/entry/_catalog_follower.py
+++ b/src/cinderway/entry/_catalog_follower.py
@@ -20,6 +20,7 @@
     CatalogUpdate,
     FindReplicas,
     FollowCatalog,
+    HallEntries,
     ReplicasAnswer,
     RetryAnswer,
     ServerLoads,
@@ -104,6 +105,11 @@
                     break
             await anyio.sleep(RECONNECT_PAUSE_S)
 
+    @property
+    def is_following(self) -> bool:
+        """Whether a control replica serves this entry now."""
+        return self._connection is not None
+
     # Retries.
 
     def earn(self, service: ServiceState) -> None:
@@ -177,7 +183,8 @@
     async def _follow(self, connection: Connection, address: Address) -> None:
         name, hall = self.settings.name, self.settings.data_hall
         known_revision = self.state.mirror.revision
-        await connection.send(FollowCatalog(name, hall, known_revision))
+        peers_address = self.settings.peers_listen
+        await connection.send(FollowCatalog(name, hall, known_revision, peers_address))
         logger.info(
             "following control replica %s of %s from catalog %d",
             address,
@@ -217,14 +224,10 @@
         match message:
             case CatalogUpdate():
                 self._install(message, now_ms)
-            case SuspectServers(servers=servers, for_ms=for_ms):
-                for server, left_ms in zip(servers, for_ms, strict=True):
-                    if left_ms:
-                        self.state.suspect(server, now_ms + left_ms)
-                    else:
-                        self.state.clear(server)
-            case ServerLoads():
-                self.state.hear_loads(message, now_ms)
+            case SuspectServers() | ServerLoads():
+                self.state.hear(message, now_ms)
+            case HallEntries(addresses=addresses):
+                self.state.peers = addresses
             case RetryAnswer(is_granted=is_granted):
                 self._note_retry_answer(envelope.call_id, is_granted)
             case VerdictBatch():
--- a/src/cinderway/wire/__init__.py
+++ b/src/cinderway/wire/__init__.py
@@ -6,7 +6,13 @@
 """
 
 from cinderway.wire._codec import Conversation, Envelope, Message
-from cinderway.wire._connection import Connection, Identity, connect, traffic
+from cinderway.wire._connection import (
+    Connection,
+    Identity,
+    connect,
+    split_address,
+    traffic,
+)
 from cinderway.wire._failure import Done, Failure, failure_from
 from cinderway.wire._group import GroupClient
 from cinderway.wire._rpc import RpcClient, call_once, serve_calls
@@ -28,5 +34,6 @@
     "failure_from",
     "serve_calls",
     "serve_connections",
+    "split_address",
     "traffic",
 ]
--- a/src/cinderway/wire/schemas/catalog.capnp
+++ b/src/cinderway/wire/schemas/catalog.capnp
@@ -18,6 +18,7 @@
     takeRetry @12 :TakeRetry;
     retryAnswer @13 :RetryAnswer;
     serverLoads @14 :ServerLoads;
+    hallEntries @15 :HallEntries;
   }
 }
 
@@ -36,6 +37,7 @@
   entry @0 :Text;
   dataHall @1 :Text;
   knownRevision @2 :UInt64;
+  peersAddress @3 :Text;
 }
 
 struct CatalogUpdate {
@@ -104,6 +106,10 @@
   servers @0 :List(ServerLoad);
 }
 
+struct HallEntries {
+  addresses @0 :List(Text);
+}
+
 struct SubmitCommand {
   data @0 :Data;
 }
--- a/tests/control/test_shared_loads.py
+++ b/tests/control/test_hall_news.py
@@ -10,9 +10,11 @@
     CatalogMachine,
     ServerLoad,
     ServerLoads,
+    SuspectServers,
     encode_command,
 )
-from cinderway.control._catalog_service import CatalogService
+from cinderway.control._hall_news import HallNews
+from cinderway.judgement import FADES_MS
 
 HALLS = {"10.1.0.1:7100": "suva", "10.1.0.2:7100": "suva", "10.2.0.1:7100": "nadi"}
 LOADS = [ServerLoad("i-1", 0.5, True)]
@@ -50,15 +52,13 @@
             machine.apply(index, encode_command(replica(address)))
         self.calls = Calls()
         own = replica("10.1.0.1:7100")
-        self.service = CatalogService(None, machine, own, self.calls, None, None, None)
         self.home, self.far = Follower("suva"), Follower("nadi")
-        self.service.followers = {self.home, self.far}
+        self.news = HallNews(own, machine, self.calls, {self.home, self.far})
 
     async def share(self):
         async with anyio.create_task_group() as tasks:
-            self.service._tasks = tasks
-            tasks.start_soon(self.service._share_loads)
-            self.service._take_loads(LOADS)
+            tasks.start_soon(self.news.run)
+            self.news.take_loads(LOADS)
             await anyio.wait_all_tasks_blocked()
             tasks.cancel_scope.cancel()
 
@@ -72,6 +72,17 @@
         self.assertEqual(self.far.loads, [])
 
     def test_what_another_replica_tells_goes_to_entries_only(self):
-        anyio.run(self.service._handle, ServerLoads(LOADS))
+        self.news.tell_loads(LOADS)
         self.assertEqual(self.home.loads, LOADS)
         self.assertEqual(self.calls.told, [])
+
+    def test_what_one_hall_alone_misses_other_halls_avoid_for_a_moment_only(self):
+        async def tell():
+            async with anyio.create_task_group() as tasks:
+                self.news._tasks = tasks
+                told = SuspectServers(["i-1", "i-2"], [8 * FADES_MS, 100])
+                self.news.tell_replicas_of_suspects(told)
+
+        anyio.run(tell)
+        told = SuspectServers(["i-1", "i-2"], [FADES_MS, 100])
+        self.assertEqual([message for _, message in self.calls.told], [told, told])
--- /dev/null
+++ b/tests/entry/test_hall_peers.py
@@ -0,0 +1,109 @@
+"""What entries of a hall tell each other while control is away."""
+
+import random
+import socket
+import unittest
+
+import anyio
+
+from cinderway._clock import monotonic_ms
+from cinderway._ids import Address, DataHall, EntryName
+from cinderway.catalog import ServerLoad, ServerLoads, SuspectServers
+from cinderway.entry._blackboard import Blackboard
+from cinderway.entry._catalog_board import CatalogBoard
+from cinderway.entry._hall_peers import SERVERS_A_DATAGRAM, HallPeers
+from cinderway.judgement import Bad, EvidenceLog
+from tests.entry.test_catalog_board import SERVICE, SUVA, catalog
+
+KEY = b"a key that is long enough"
+
+
+def free_address():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return Address(f"127.0.0.1:{probe.getsockname()[1]}")
+
+
+def entry(name, key=KEY, is_alone=True):
+    board = Blackboard(EntryName(name), DataHall(SUVA), random.Random(1))
+    state = CatalogBoard(board, EvidenceLog(), lone_retry_percent=5)
+    state.install(catalog(["a", "b"]).update_since(0), now_ms=0)
+    return HallPeers(state, free_address(), key, lambda: is_alone)
+
+
+def server_of(peers, name):
+    return peers.state.board.services[SERVICE].servers[name]
+
+
+class HallPeersTests(unittest.TestCase):
+    def test_what_fails_at_one_is_suspect_at_another(self):
+        one, other = entry("e1"), entry("e2")
+        one.state.note_alarm("a", Bad.ERROR)
+        for message in one.news():
+            other.hear(one.seal(message))
+        self.assertGreater(server_of(other, "a").suspect_until_ms, monotonic_ms())
+        self.assertEqual(server_of(other, "b").suspect_until_ms, 0)
+
+    def test_loads_and_good_answers_are_told(self):
+        one, other = entry("e1"), entry("e2")
+        one.state.board.on_load("b", 0.5, True)
+        for message in one.news():
+            other.hear(one.seal(message))
+        server = server_of(other, "b")
+        self.assertEqual(server.known_load, 0.5)
+        self.assertGreater(server.proven_at_ms, 0)
+
+    def test_news_is_told_once(self):
+        one = entry("e1")
+        one.state.note_alarm("a", Bad.ERROR)
+        self.assertEqual(len(list(one.news())), 1)
+        self.assertEqual(list(one.news()), [])
+
+    def test_without_the_shared_key_nothing_is_believed(self):
+        stranger, other = entry("e1", key=b"another key of some length"), entry("e2")
+        told = SuspectServers(["a"], [2_000])
+        other.hear(stranger.seal(told))
+        other.hear(b"")
+        other.hear(b"\0" * 300)
+        self.assertEqual(server_of(other, "a").suspect_until_ms, 0)
+        self.assertEqual(other.heard, 0)
+
+    def test_a_datagram_stays_below_the_size_at_which_it_is_split(self):
+        one = entry("e1")
+        for number in range(3 * SERVERS_A_DATAGRAM):
+            one.state.board.on_load(f"i-{number:010x}", 1.0, True)
+        sizes = [len(one.seal(message)) for message in one.news()]
+        self.assertEqual(len(sizes), 3)
+        self.assertLess(max(sizes), 1_400)
+
+    def test_entries_that_are_alone_hear_each_other(self):
+        one, other = entry("e1"), entry("e2")
+        one.state.peers = [one.own_address, other.own_address]
+
+        async def run():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(one.run)
+                tasks.start_soon(other.run)
+                with anyio.fail_after(20):
+                    while not other.heard:
+                        one.state.board.on_load("a", 0.75, True)
+                        await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+        self.assertEqual(server_of(other, "a").known_load, 0.75)
+        self.assertEqual(one.heard, 0)
+
+    def test_an_entry_that_follows_control_leaves_its_news_to_it(self):
+        one = entry("e1", is_alone=False)
+        one.state.board.on_load("a", 0.75, True)
+
+        async def run():
+            with anyio.move_on_after(0.3):
+                await one.run()
+
+        anyio.run(run)
+        self.assertEqual(one.told, 0)
+        self.assertEqual(
+            one.state.take_loads(), ServerLoads([ServerLoad("a", 0.75, True)])
+        )
