--- a/src/cinderway/entry/_catalog_daemon.py
+++ b/src/cinderway/entry/_catalog_daemon.py
@@ -16,14 +16,14 @@
 from cinderway._operators import Metrics, serve_operators
 from cinderway._settings import CatalogEntrySettings
 from cinderway._settings_watch import SettingsWatch
-from cinderway.entry._attempts import Attempts
-from cinderway.entry._backends import BackendConnections, HeaderNames
 from cinderway.entry._blackboard import Blackboard
 from cinderway.entry._catalog_board import CatalogBoard
-from cinderway.entry._catalog_follower import CatalogFollower
-from cinderway.entry._dispatch import Dispatcher
-from cinderway.entry._hall_peers import HallPeers
-from cinderway.entry._route_handler import RouteHandler
+from cinderway.entry.callers._attempts import Attempts
+from cinderway.entry.callers._route_handler import RouteHandler
+from cinderway.entry.fleet._catalog_follower import CatalogFollower
+from cinderway.entry.fleet._hall_peers import HallPeers
+from cinderway.entry.servers._backends import BackendConnections, HeaderNames
+from cinderway.entry.servers._dispatch import Dispatcher
 from cinderway.judgement import EvidenceLog
 from cinderway.wire import Identity
 
--- a/src/cinderway/entry/_daemon.py
+++ b/src/cinderway/entry/_daemon.py
@@ -10,19 +10,19 @@
 from cinderway._logging import configure_logging
 from cinderway._operators import Metrics, serve_operators
 from cinderway._settings import EntrySettings
-from cinderway.entry._assessor_server import AssessorServer
-from cinderway.entry._attempts import Attempts
-from cinderway.entry._backends import BackendConnections
 from cinderway.entry._blackboard import Blackboard
-from cinderway.entry._dispatch import Dispatcher
-from cinderway.entry._handler import Handler
-from cinderway.entry._platform import PlatformReader
-from cinderway.entry._probe import Prober
-from cinderway.entry._report_server import ReportServer
-from cinderway.entry._reporter import Reporter
-from cinderway.entry._run_once import RunOnce
-from cinderway.entry._stream import Streams
-from cinderway.entry._table_follower import TableFollower
+from cinderway.entry.callers._attempts import Attempts
+from cinderway.entry.callers._handler import Handler
+from cinderway.entry.callers._run_once import RunOnce
+from cinderway.entry.callers._stream import Streams
+from cinderway.entry.fleet._assessor_server import AssessorServer
+from cinderway.entry.fleet._platform import PlatformReader
+from cinderway.entry.fleet._report_server import ReportServer
+from cinderway.entry.fleet._reporter import Reporter
+from cinderway.entry.fleet._table_follower import TableFollower
+from cinderway.entry.servers._backends import BackendConnections
+from cinderway.entry.servers._dispatch import Dispatcher
+from cinderway.entry.servers._probe import Prober
 from cinderway.judgement import EvidenceLog
 from cinderway.ledger import LedgerClient
 from cinderway.wire import Identity, serve_connections
--- /dev/null
+++ b/src/cinderway/entry/callers/__init__.py
@@ -0,0 +1,1 @@
+"""A caller's request from its arrival to its final answer."""
--- a/src/cinderway/entry/_attempts.py
+++ b/src/cinderway/entry/callers/_attempts.py
@@ -14,12 +14,12 @@
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._operators import Metrics
 from cinderway.entry._blackboard import ServiceState
-from cinderway.entry._dispatch import Dispatcher
-from cinderway.entry._outcomes import OutcomeError, outcome_of_attempt
-from cinderway.entry._policies import hedge_after_ms
-from cinderway.entry._race import Hedge, race
-from cinderway.entry._relay import WholeAnswer, read_whole
-from cinderway.entry._requests import CallerRequest
+from cinderway.entry.callers._outcomes import OutcomeError, outcome_of_attempt
+from cinderway.entry.callers._policies import hedge_after_ms
+from cinderway.entry.callers._race import Hedge, race
+from cinderway.entry.callers._relay import WholeAnswer, read_whole
+from cinderway.entry.callers._requests import CallerRequest
+from cinderway.entry.servers._dispatch import Dispatcher
 from cinderway.ledger import Resolution
 
 SERVER_ERROR = 500
--- a/src/cinderway/entry/_claims.py
+++ b/src/cinderway/entry/callers/_claims.py
@@ -5,7 +5,7 @@
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import AttemptId, EntryName
-from cinderway.entry._requests import KEY_HEADER, CallerRequest, fingerprint_of
+from cinderway.entry.callers._requests import KEY_HEADER, CallerRequest, fingerprint_of
 from cinderway.ledger import (
     NO_ANSWER,
     Claim,
--- a/src/cinderway/entry/_handler.py
+++ b/src/cinderway/entry/callers/_handler.py
@@ -11,14 +11,16 @@
 from cinderway._ids import CallerName
 from cinderway._operators import Metrics
 from cinderway._settings import EntrySettings
-from cinderway.entry._answers import problem_answer
-from cinderway.entry._attempts import Attempts
 from cinderway.entry._blackboard import Blackboard, ServiceState
-from cinderway.entry._dispatch import usable_servers
-from cinderway.entry._outcomes import AnswerBrokenError, OutcomeError, RefusedError
-from cinderway.entry._reply import Reply, Send
-from cinderway.entry._report_server import ReportServer
-from cinderway.entry._requests import (
+from cinderway.entry.callers._answers import problem_answer
+from cinderway.entry.callers._attempts import Attempts
+from cinderway.entry.callers._outcomes import (
+    AnswerBrokenError,
+    OutcomeError,
+    RefusedError,
+)
+from cinderway.entry.callers._reply import Reply, Send
+from cinderway.entry.callers._requests import (
     KEY_HEADER,
     KEY_LIMIT_BYTES,
     CallerLeftError,
@@ -30,8 +32,10 @@
     read_body,
     repeatability_of,
 )
-from cinderway.entry._run_once import RunOnce
-from cinderway.entry._stream import Streams
+from cinderway.entry.callers._run_once import RunOnce
+from cinderway.entry.callers._stream import Streams
+from cinderway.entry.fleet._report_server import ReportServer
+from cinderway.entry.servers._dispatch import usable_servers
 from cinderway.ledger import Resolution
 from cinderway.limits import Refused
 from cinderway.routing import RouteMatch
--- a/src/cinderway/entry/_race.py
+++ b/src/cinderway/entry/callers/_race.py
@@ -7,8 +7,8 @@
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError
-from cinderway.entry._outcomes import outcome_of_attempt
-from cinderway.entry._relay import WholeAnswer
+from cinderway.entry.callers._outcomes import outcome_of_attempt
+from cinderway.entry.callers._relay import WholeAnswer
 from cinderway.ledger import Resolution
 
 SERVER_ERROR = 500
--- a/src/cinderway/entry/_relay.py
+++ b/src/cinderway/entry/callers/_relay.py
@@ -7,9 +7,9 @@
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway.entry._backends import BackendAnswer, BackendRequest, Headers
-from cinderway.entry._dispatch import Dispatcher, Exchange
-from cinderway.entry._requests import find_header, forwarded
+from cinderway.entry.callers._requests import find_header, forwarded
+from cinderway.entry.servers._backends import BackendAnswer, BackendRequest, Headers
+from cinderway.entry.servers._dispatch import Dispatcher, Exchange
 from cinderway.judgement import Bad
 
 OK = 200
--- a/src/cinderway/entry/_reply.py
+++ b/src/cinderway/entry/callers/_reply.py
@@ -3,11 +3,11 @@
 from collections.abc import Awaitable, Callable
 
 from cinderway._clock import monotonic_ms
-from cinderway.entry._answers import OUTCOME_HEADER, OwnAnswer
-from cinderway.entry._backends import BackendAnswer, Headers
 from cinderway.entry._blackboard import Blackboard
-from cinderway.entry._relay import WholeAnswer
-from cinderway.entry._requests import forwarded
+from cinderway.entry.callers._answers import OUTCOME_HEADER, OwnAnswer
+from cinderway.entry.callers._relay import WholeAnswer
+from cinderway.entry.callers._requests import forwarded
+from cinderway.entry.servers._backends import BackendAnswer, Headers
 from cinderway.ledger import Resolution
 
 Send = Callable[[dict], Awaitable[None]]
--- a/src/cinderway/entry/_route_handler.py
+++ b/src/cinderway/entry/callers/_route_handler.py
@@ -15,20 +15,20 @@
 from cinderway._ids import AttemptId, CallerName, ServiceName
 from cinderway._operators import Metrics
 from cinderway.catalog import RouteRow, pick_service
-from cinderway.entry._answers import problem_answer
-from cinderway.entry._attempts import Attempts
-from cinderway.entry._backends import HeaderNames
 from cinderway.entry._catalog_board import CatalogBoard
-from cinderway.entry._outcomes import OutcomeError
-from cinderway.entry._policies import penalties_of, retry_after_s
-from cinderway.entry._reply import Reply, Send
-from cinderway.entry._requests import (
+from cinderway.entry.callers._answers import problem_answer
+from cinderway.entry.callers._attempts import Attempts
+from cinderway.entry.callers._outcomes import OutcomeError
+from cinderway.entry.callers._policies import penalties_of, retry_after_s
+from cinderway.entry.callers._reply import Reply, Send
+from cinderway.entry.callers._requests import (
     CallerLeftError,
     CallerRequest,
     backend_request_of,
     find_header,
     read_body,
 )
+from cinderway.entry.servers._backends import HeaderNames
 from cinderway.ledger import Resolution
 from cinderway.reports import RequestLine
 from cinderway.reports._request_line import NONE
--- a/src/cinderway/entry/_run_once.py
+++ b/src/cinderway/entry/callers/_run_once.py
@@ -10,14 +10,14 @@
 from cinderway._errors import CinderwayError, ErrorCode
 from cinderway._ids import AttemptId, EntryName
 from cinderway._operators import Metrics
-from cinderway.entry import _claims
-from cinderway.entry._answers import problem_answer
-from cinderway.entry._attempts import Attempts
 from cinderway.entry._blackboard import ServiceState
-from cinderway.entry._outcomes import OutcomeError
-from cinderway.entry._relay import WholeAnswer
-from cinderway.entry._reply import Reply
-from cinderway.entry._requests import CallerRequest
+from cinderway.entry.callers import _claims
+from cinderway.entry.callers._answers import problem_answer
+from cinderway.entry.callers._attempts import Attempts
+from cinderway.entry.callers._outcomes import OutcomeError
+from cinderway.entry.callers._relay import WholeAnswer
+from cinderway.entry.callers._reply import Reply
+from cinderway.entry.callers._requests import CallerRequest
 from cinderway.ledger import (
     NO_ANSWER,
     Header,
--- a/src/cinderway/entry/_stream.py
+++ b/src/cinderway/entry/callers/_stream.py
@@ -5,17 +5,17 @@
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError
 from cinderway._ids import ServerName
-from cinderway.entry._attempts import SERVER_ERROR, Attempts
 from cinderway.entry._blackboard import ServiceState
-from cinderway.entry._dispatch import Exchange
-from cinderway.entry._outcomes import (
+from cinderway.entry.callers._attempts import SERVER_ERROR, Attempts
+from cinderway.entry.callers._outcomes import (
     AnswerBrokenError,
     OutcomeError,
     outcome_of_attempt,
 )
-from cinderway.entry._relay import Download, next_chunk
-from cinderway.entry._reply import Reply
-from cinderway.entry._requests import ATTEMPT_LIMIT, CallerRequest
+from cinderway.entry.callers._relay import Download, next_chunk
+from cinderway.entry.callers._reply import Reply
+from cinderway.entry.callers._requests import ATTEMPT_LIMIT, CallerRequest
+from cinderway.entry.servers._dispatch import Exchange
 from cinderway.judgement import Bad
 
 
--- /dev/null
+++ b/src/cinderway/entry/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What an entry says to control and to other entries, and hears from them."""
--- a/src/cinderway/entry/_catalog_follower.py
+++ b/src/cinderway/entry/fleet/_catalog_follower.py
@@ -30,8 +30,8 @@
 )
 from cinderway.entry._blackboard import ServiceState
 from cinderway.entry._catalog_board import CatalogBoard
-from cinderway.entry._catalog_reports import CatalogReports
-from cinderway.entry._replica_choice import (
+from cinderway.entry.fleet._catalog_reports import CatalogReports
+from cinderway.entry.fleet._replica_choice import (
     AVOID_MS,
     LEADERLESS_AVOID_MS,
     ReplicaChoice,
--- a/src/cinderway/entry/_reporter.py
+++ b/src/cinderway/entry/fleet/_reporter.py
@@ -10,7 +10,7 @@
 from cinderway._errors import CinderwayError
 from cinderway._ids import Address, EntryName, ServiceName
 from cinderway.entry._blackboard import Blackboard, ServerState, ServiceState
-from cinderway.entry._report_server import ReportServer
+from cinderway.entry.fleet._report_server import ReportServer
 from cinderway.judgement import (
     JUDGEMENT,
     Agreed,
--- a/src/cinderway/entry/_table_follower.py
+++ b/src/cinderway/entry/fleet/_table_follower.py
@@ -15,7 +15,7 @@
 from cinderway._ids import Address
 from cinderway._settings import EntrySettings
 from cinderway.entry._blackboard import Blackboard
-from cinderway.entry._trust import TrustEvidence, may_trust
+from cinderway.entry.fleet._trust import TrustEvidence, may_trust
 from cinderway.table import (
     TABLE,
     TABLE_LEVEL,
--- /dev/null
+++ b/src/cinderway/entry/servers/__init__.py
@@ -0,0 +1,1 @@
+"""The way to backend servers: which one, over which connection."""
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/callers/test_attempts.py
@@ -10,11 +10,11 @@
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import CallerName, ServerName, ServiceName
 from cinderway._operators import Metrics
-from cinderway.entry._attempts import UNREACHED_LIMIT, Attempts
-from cinderway.entry._backends import BackendRequest
 from cinderway.entry._blackboard import ServiceState
-from cinderway.entry._outcomes import OutcomeError
-from cinderway.entry._requests import CallerRequest
+from cinderway.entry.callers._attempts import UNREACHED_LIMIT, Attempts
+from cinderway.entry.callers._outcomes import OutcomeError
+from cinderway.entry.callers._requests import CallerRequest
+from cinderway.entry.servers._backends import BackendRequest
 from cinderway.judgement import EvidenceLog
 from cinderway.ledger import Resolution
 from cinderway.limits import RetryBudget
--- a/tests/entry/test_race.py
+++ b/tests/entry/callers/test_race.py
@@ -4,8 +4,8 @@
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway.entry._race import Hedge, race
-from cinderway.entry._relay import WholeAnswer
+from cinderway.entry.callers._race import Hedge, race
+from cinderway.entry.callers._relay import WholeAnswer
 
 
 def failure(step):
--- a/tests/entry/test_relay.py
+++ b/tests/entry/callers/test_relay.py
@@ -2,8 +2,8 @@
 
 from hypothesis import given, strategies as st
 
-from cinderway.entry._backends import BackendAnswer, BackendRequest
-from cinderway.entry._relay import Download
+from cinderway.entry.callers._relay import Download
+from cinderway.entry.servers._backends import BackendAnswer, BackendRequest
 
 REQUEST = BackendRequest(b"GET", b"/maps/1", [(b"host", b"x")], b"")
 
--- a/tests/entry/test_route_handler.py
+++ b/tests/entry/callers/test_route_handler.py
@@ -10,11 +10,11 @@
 from cinderway._ids import DataHall, EntryName
 from cinderway._operators import Metrics
 from cinderway.catalog import CatalogMachine, InstallSheet, encode_command
-from cinderway.entry._backends import HeaderNames
 from cinderway.entry._blackboard import Blackboard
 from cinderway.entry._catalog_board import CatalogBoard
-from cinderway.entry._relay import WholeAnswer
-from cinderway.entry._route_handler import RouteHandler, retry_after_s
+from cinderway.entry.callers._relay import WholeAnswer
+from cinderway.entry.callers._route_handler import RouteHandler, retry_after_s
+from cinderway.entry.servers._backends import HeaderNames
 from cinderway.judgement import EvidenceLog
 
 
--- a/tests/entry/test_catalog_follower.py
+++ b/tests/entry/fleet/test_catalog_follower.py
@@ -10,8 +10,8 @@
 from cinderway._settings import CatalogEntrySettings, parse_settings
 from cinderway.entry._blackboard import Blackboard, ServiceState
 from cinderway.entry._catalog_board import CatalogBoard
-from cinderway.entry._catalog_follower import LEADER_AGE_LIMIT_MS, CatalogFollower
-from cinderway.entry._replica_choice import LEADERLESS_AVOID_MS
+from cinderway.entry.fleet._catalog_follower import LEADER_AGE_LIMIT_MS, CatalogFollower
+from cinderway.entry.fleet._replica_choice import LEADERLESS_AVOID_MS
 from cinderway.judgement import EvidenceLog
 from cinderway.limits import RetryBudget
 from cinderway.table import ServiceRow
--- a/tests/entry/test_hall_peers.py
+++ b/tests/entry/fleet/test_hall_peers.py
@@ -11,7 +11,7 @@
 from cinderway.catalog import ServerLoad, ServerLoads, SuspectServers
 from cinderway.entry._blackboard import Blackboard
 from cinderway.entry._catalog_board import CatalogBoard
-from cinderway.entry._hall_peers import SERVERS_A_DATAGRAM, HallPeers
+from cinderway.entry.fleet._hall_peers import SERVERS_A_DATAGRAM, HallPeers
 from cinderway.judgement import Bad, EvidenceLog
 from tests.entry.test_catalog_board import SERVICE, SUVA, catalog
 
--- a/tests/entry/test_platform.py
+++ b/tests/entry/fleet/test_platform.py
@@ -2,13 +2,13 @@
 import unittest
 
 from cinderway.entry._blackboard import Blackboard, ServerState, ServiceState
-from cinderway.entry._dispatch import usable_servers
-from cinderway.entry._platform import (
+from cinderway.entry.fleet._platform import (
     InstanceState,
     ListedInstance,
     PlatformList,
     apply_list,
 )
+from cinderway.entry.servers._dispatch import usable_servers
 from cinderway.limits import RetryBudget
 from cinderway.table import ServerRow, ServiceRow
 
--- a/tests/entry/test_replica_choice.py
+++ b/tests/entry/fleet/test_replica_choice.py
@@ -2,7 +2,7 @@
 
 from cinderway._ids import Address, DataHall, EntryName
 from cinderway.catalog import ReplicaAddress
-from cinderway.entry._replica_choice import (
+from cinderway.entry.fleet._replica_choice import (
     AVOID_MS,
     LEADERLESS_AVOID_MS,
     ReplicaChoice,
--- a/tests/entry/test_table_follower.py
+++ b/tests/entry/fleet/test_table_follower.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from cinderway.entry._blackboard import Blackboard
-from cinderway.entry._table_follower import TableFollower
+from cinderway.entry.fleet._table_follower import TableFollower
 from cinderway.table import Action, Change, Edit, Sheet, TableMachine
 
 CELLS = {"service": "lookup", "data_hall": "suva", "address": "10.0.0.1:80"}
--- a/tests/entry/test_trust.py
+++ b/tests/entry/fleet/test_trust.py
@@ -1,6 +1,6 @@
 import unittest
 
-from cinderway.entry._trust import LEADER_FIRST_MS, TrustEvidence, may_trust
+from cinderway.entry.fleet._trust import LEADER_FIRST_MS, TrustEvidence, may_trust
 
 
 def trusts(evidence, revision=5, peers=4, waited_ms=LEADER_FIRST_MS):
--- a/tests/entry/test_backends.py
+++ b/tests/entry/servers/test_backends.py
@@ -7,7 +7,7 @@
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway.entry._backends import (
+from cinderway.entry.servers._backends import (
     BackendConnections,
     BackendRequest,
     HeaderNames,
--- a/tests/entry/test_catalog_board.py
+++ b/tests/entry/test_catalog_board.py
@@ -17,10 +17,10 @@
     ServerStatus,
     encode_command,
 )
-from cinderway.entry._backends import BackendConnections
 from cinderway.entry._blackboard import Blackboard
 from cinderway.entry._catalog_board import CatalogBoard
-from cinderway.entry._dispatch import Dispatcher
+from cinderway.entry.servers._backends import BackendConnections
+from cinderway.entry.servers._dispatch import Dispatcher
 from cinderway.judgement import EvidenceLog
 from cinderway.routing import USUAL_PENALTIES, Penalties
 
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -264,17 +264,17 @@
     ),
     Guard(
         "a restarted entry does not go back",
-        "entry/_trust.py",
+        "entry/fleet/_trust.py",
         "revision < evidence.own_revision",
         "False",
-        "tests.entry.test_trust",
+        "tests.entry.fleet.test_trust",
     ),
     Guard(
         "a resumed download is the same version",
-        "entry/_relay.py",
+        "entry/callers/_relay.py",
         "            and etag == self.etag\n",
         "",
-        "tests.entry.test_relay",
+        "tests.entry.callers.test_relay",
     ),
     Guard(
         "no proof, no service",
