entry: tell loads again after a moment alone

The new task that speaks to the hall's entries took the loads that had come up, found none, and put a new event in place of one that the task which tells the replica was waiting for: that entry told no loads ever after. At each start an entry is alone for a moment, so all were struck. Change: an event that is not set is not replaced; the task looks again whether it is needed. The test failed before.

--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -122,7 +122,9 @@
     def take_loads(self) -> ServerLoads:
         """Return the loads that this entry came to know since the last call."""
         loads, self._loads = self._loads, {}
-        self.loads_changed = anyio.Event()
+        # One that is not set yet may be waited for by another task: it must stay.
+        if self.loads_changed.is_set():
+            self.loads_changed = anyio.Event()
         return ServerLoads(list(loads.values()))
 
     def take_suspects(self, now_ms: int) -> SuspectServers:
--- a/src/cinderway/entry/fleet/_hall_peers.py
+++ b/src/cinderway/entry/fleet/_hall_peers.py
@@ -67,6 +67,8 @@
                 continue
             with anyio.move_on_after(LOOK_PAUSE_S):
                 await self.state.loads_changed.wait()
+            if not self.is_needed():
+                continue
             for message in self.news():
                 await self._send(self.seal(message))
             await anyio.sleep(TELL_PAUSE_S)
--- a/tests/entry/test_catalog_board.py
+++ b/tests/entry/test_catalog_board.py
@@ -127,3 +127,13 @@
         self.dispatcher._note_load(server, 0.5, now_ms, is_proven=True)
         self.dispatcher._note_send(server, now_ms)
         self.assertEqual(self.state.take_loads().servers, [ServerLoad("a", 0.75, True)])
+
+
+class LoadsChangedTests(unittest.TestCase):
+    def test_who_waits_for_loads_is_woken_though_others_took_none_meanwhile(self):
+        board = Blackboard(EntryName("e1"), SUVA, random.Random(1))
+        state = CatalogBoard(board, EvidenceLog(), lone_retry_percent=5)
+        awaited = state.loads_changed
+        state.take_loads()
+        board.on_load(ServerName("a"), 0.5, False)
+        self.assertTrue(awaited.is_set())
