--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -17,7 +17,10 @@
 from cinderway._errors import CinderwayError
 from cinderway.entry import _daemon
 from cinderway.entry._blackboard import ServerState, ServiceState
-from cinderway.entry.servers._backends import BackendConnections, BackendRequest
+from cinderway.entry.servers._backends import BackendConnections
+from cinderway.entry.servers._messages import (
+    BackendRequest,
+)
 from cinderway.judgement import EvidenceLog
 
 logger = logging.getLogger(__name__)
--- a/src/cinderway/entry/_catalog_daemon.py
+++ b/src/cinderway/entry/_catalog_daemon.py
@@ -22,8 +22,11 @@
 from cinderway.entry.callers._route_handler import RouteHandler
 from cinderway.entry.fleet._catalog_follower import CatalogFollower
 from cinderway.entry.fleet._hall_peers import HallPeers
-from cinderway.entry.servers._backends import BackendConnections, HeaderNames
+from cinderway.entry.servers._backends import BackendConnections
 from cinderway.entry.servers._dispatch import Dispatcher
+from cinderway.entry.servers._messages import (
+    HeaderNames,
+)
 from cinderway.judgement import EvidenceLog
 from cinderway.wire import Identity
 
--- a/src/cinderway/entry/callers/_relay.py
+++ b/src/cinderway/entry/callers/_relay.py
@@ -8,8 +8,12 @@
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway.entry.callers._requests import find_header, forwarded
-from cinderway.entry.servers._backends import BackendAnswer, BackendRequest, Headers
 from cinderway.entry.servers._dispatch import Dispatcher, Exchange
+from cinderway.entry.servers._messages import (
+    BackendAnswer,
+    BackendRequest,
+    Headers,
+)
 from cinderway.judgement import Bad
 
 OK = 200
--- a/src/cinderway/entry/callers/_reply.py
+++ b/src/cinderway/entry/callers/_reply.py
@@ -7,7 +7,10 @@
 from cinderway.entry.callers._answers import OUTCOME_HEADER, OwnAnswer
 from cinderway.entry.callers._relay import WholeAnswer
 from cinderway.entry.callers._requests import forwarded
-from cinderway.entry.servers._backends import BackendAnswer, Headers
+from cinderway.entry.servers._messages import (
+    BackendAnswer,
+    Headers,
+)
 from cinderway.ledger import Resolution
 
 Send = Callable[[dict], Awaitable[None]]
--- a/src/cinderway/entry/callers/_requests.py
+++ b/src/cinderway/entry/callers/_requests.py
@@ -8,7 +8,7 @@
 
 from cinderway._http_body import whole_body
 from cinderway._ids import AttemptId, CallerName, ServerName
-from cinderway.entry.servers._backends import (
+from cinderway.entry.servers._messages import (
     DEADLINE_HEADER,
     OWN_NAMES,
     BackendRequest,
--- a/src/cinderway/entry/callers/_route_handler.py
+++ b/src/cinderway/entry/callers/_route_handler.py
@@ -28,7 +28,9 @@
     find_header,
     read_body,
 )
-from cinderway.entry.servers._backends import HeaderNames
+from cinderway.entry.servers._messages import (
+    HeaderNames,
+)
 from cinderway.ledger import Resolution
 from cinderway.reports import RequestLine
 from cinderway.reports._request_line import NONE
--- a/src/cinderway/entry/servers/_backends.py
+++ b/src/cinderway/entry/servers/_backends.py
@@ -1,10 +1,8 @@
 """One attempt at a backend server, over a connection that serves one at a time."""
 
-import re
 import select
 import socket
 from collections import deque
-from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
 import anyio
@@ -14,128 +12,18 @@
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import Address, AttemptId, ServerName
+from cinderway.entry.servers._messages import (
+    IDLE_LIMIT_S,
+    OWN_NAMES,
+    BackendAnswer,
+    BackendRequest,
+    HeaderNames,
+)
 from cinderway.limits import ConnectLimit
 from cinderway.wire import split_address
 
-IDLE_LIMIT_S = 30.0
 SENDING_BEGAN = "http11.send_request_headers.started"
 
-DEADLINE_HEADER = b"cinderway-deadline-ms"
-ATTEMPT_HEADER = b"cinderway-attempt"
-OUTCOME_HEADER = b"cinderway-outcome"
-LOAD_HEADER = b"cinderway-load"
-DRAIN_HEADER = b"cinderway-drain"
-NOT_RUN = b"not_run"
-MISDIRECTED = 421
-OK = 200
-MULTIPLE_CHOICES = 300
-KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
-# A connection is left alone this long before its server may close it.
-IDLE_MARGIN_S = 1.0
-
-Headers = list[tuple[bytes, bytes]]
-
-
-@dataclass(frozen=True)
-class HeaderNames:
-    """The headers that entries and backend servers speak by, in lower case.
-
-    `expected`, `not_run` and `seal` are empty where servers know no such header.
-    `is_echoed` says that every answer carries the attempt's name back, and
-    `passes_own` that headers of our own prefix go on to the other side.
-    """
-
-    attempt: bytes = ATTEMPT_HEADER
-    deadline: bytes = DEADLINE_HEADER
-    load: bytes = LOAD_HEADER
-    expected: bytes = b""
-    not_run: bytes = b""
-    seal: bytes = b""
-    is_echoed: bool = False
-    passes_own: bool = False
-
-
-OWN_NAMES = HeaderNames()
-
-
-@dataclass(frozen=True)
-class BackendRequest:
-    """What is sent to a backend server; nothing in it changes between attempts."""
-
-    method: bytes
-    target: bytes
-    headers: Headers
-    body: bytes
-
-
-@dataclass
-class BackendAnswer:
-    """Status and headers of an answer whose body is still to be read."""
-
-    status: int
-    headers: Headers
-    _response: httpcore.Response
-    _connection: "_PooledConnection"
-    names: HeaderNames = OWN_NAMES
-
-    def header(self, name: bytes) -> bytes | None:
-        """Return a header's value, or None."""
-        for header_name, value in self.headers:
-            if header_name.lower() == name:
-                return value
-        return None
-
-    @property
-    def is_shed(self) -> bool:
-        """The server's own word that it did not run the request."""
-        if self.names.not_run and self.header(self.names.not_run) is not None:
-            return True
-        return self.header(OUTCOME_HEADER) == NOT_RUN or self.is_misdirected
-
-    @property
-    def is_misdirected(self) -> bool:
-        """Whether another server than the expected one has the address now."""
-        return bool(self.names.expected) and self.status == MISDIRECTED
-
-    def foreign_reason(self, attempt_id: AttemptId) -> str:
-        """Why this cannot be the server's own answer to the attempt; "" if it can."""
-        names = self.names
-        if names.is_echoed and self.header(names.attempt) != attempt_id.encode():
-            return "the answer belongs to another request"
-        if not names.seal or not OK <= self.status < MULTIPLE_CHOICES:
-            return ""
-        if self.header(names.seal) is None:
-            return "a successful answer carries no seal of the server"
-        if self.header(b"content-encoding") is not None:
-            return "the body is encoded, which nobody asked for"
-        return ""
-
-    def idle_limit_s(self) -> float:
-        """How long the connection may rest before the server may close it."""
-        found = KEEP_ALIVE_TIMEOUT.search(self.header(b"keep-alive") or b"")
-        if found is None:
-            return IDLE_LIMIT_S
-        return max(min(int(found[1]) - IDLE_MARGIN_S, IDLE_LIMIT_S), 0.0)
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body; raises CinderwayError if it is cut short."""
-        try:
-            async for chunk in self._response.aiter_stream():
-                yield chunk
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            raise CinderwayError(
-                ErrorCode.ANSWER_CUT_SHORT,
-                f"the body ended early: {error}",
-                step=Step.RELAY_BODY,
-                peer=self._connection.address,
-            ) from error
-        self._connection.is_reusable = True
-        self._connection.idle_limit_ms = round(self.idle_limit_s() * 1000)
-
-    async def aclose(self) -> None:
-        """Give the connection back if the answer was read whole, else close it."""
-        await self._connection.give_back(self._response)
-
 
 class _Stream(httpcore.AsyncNetworkStream):
     """An anyio stream for httpcore, without a timer for each read and write.
--- a/src/cinderway/entry/servers/_dispatch.py
+++ b/src/cinderway/entry/servers/_dispatch.py
@@ -10,14 +10,14 @@
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import AttemptId, ServerName
 from cinderway.entry._blackboard import Blackboard, ServerState, ServiceState
-from cinderway.entry.servers._backends import (
+from cinderway.entry.servers._backends import BackendConnections
+from cinderway.entry.servers._candidates import free_candidates
+from cinderway.entry.servers._load_report import parse_load
+from cinderway.entry.servers._messages import (
     DRAIN_HEADER,
     BackendAnswer,
-    BackendConnections,
     BackendRequest,
 )
-from cinderway.entry.servers._candidates import free_candidates
-from cinderway.entry.servers._load_report import parse_load
 from cinderway.judgement import (
     DRAIN_VALID_MS,
     PIECE_BYTES,
--- a/src/cinderway/entry/servers/_probe.py
+++ b/src/cinderway/entry/servers/_probe.py
@@ -10,8 +10,10 @@
 from cinderway._errors import CinderwayError
 from cinderway._ids import EntryName
 from cinderway.entry._blackboard import Blackboard, ServerState, ServiceState
-from cinderway.entry.servers._backends import BackendRequest
 from cinderway.entry.servers._dispatch import Dispatcher
+from cinderway.entry.servers._messages import (
+    BackendRequest,
+)
 from cinderway.routing import rank_of
 
 logger = logging.getLogger(__name__)
--- a/tests/entry/callers/test_attempts.py
+++ b/tests/entry/callers/test_attempts.py
@@ -14,7 +14,9 @@
 from cinderway.entry.callers._attempts import UNREACHED_LIMIT, Attempts
 from cinderway.entry.callers._outcomes import OutcomeError
 from cinderway.entry.callers._requests import CallerRequest
-from cinderway.entry.servers._backends import BackendRequest
+from cinderway.entry.servers._messages import (
+    BackendRequest,
+)
 from cinderway.judgement import EvidenceLog
 from cinderway.ledger import Resolution
 from cinderway.limits import RetryBudget
--- a/tests/entry/callers/test_relay.py
+++ b/tests/entry/callers/test_relay.py
@@ -3,7 +3,10 @@
 from hypothesis import given, strategies as st
 
 from cinderway.entry.callers._relay import Download
-from cinderway.entry.servers._backends import BackendAnswer, BackendRequest
+from cinderway.entry.servers._messages import (
+    BackendAnswer,
+    BackendRequest,
+)
 
 REQUEST = BackendRequest(b"GET", b"/maps/1", [(b"host", b"x")], b"")
 
--- a/tests/entry/callers/test_route_handler.py
+++ b/tests/entry/callers/test_route_handler.py
@@ -14,7 +14,9 @@
 from cinderway.entry._catalog_board import CatalogBoard
 from cinderway.entry.callers._relay import WholeAnswer
 from cinderway.entry.callers._route_handler import RouteHandler, retry_after_s
-from cinderway.entry.servers._backends import HeaderNames
+from cinderway.entry.servers._messages import (
+    HeaderNames,
+)
 from cinderway.judgement import EvidenceLog
 
 
--- a/tests/entry/servers/test_backends.py
+++ b/tests/entry/servers/test_backends.py
@@ -7,8 +7,8 @@
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway.entry.servers._backends import (
-    BackendConnections,
+from cinderway.entry.servers._backends import BackendConnections
+from cinderway.entry.servers._messages import (
     BackendRequest,
     HeaderNames,
 )
--- a/tests/entry/servers/test_dispatch.py
+++ b/tests/entry/servers/test_dispatch.py
@@ -9,8 +9,10 @@
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import Address, AttemptId, DataHall, EntryName, ServerName
 from cinderway.entry._blackboard import Blackboard
-from cinderway.entry.servers._backends import BackendRequest
 from cinderway.entry.servers._dispatch import Dispatcher
+from cinderway.entry.servers._messages import (
+    BackendRequest,
+)
 from cinderway.judgement import EvidenceLog
 from cinderway.routing import Penalties
 from cinderway.table import ServerRow, ServiceRow
