catalog: a start heard of late no longer puts the living one out for good

Ruled out: deciding by ids or by the heartbeats' numbers (neither orders two starts); taking any further heartbeat for life (a cut lets several through in one burst, and a start that is over would take the place for a moment each time). One that was taken out for good stays out.

--- a/src/cinderway/catalog/__init__.py
+++ b/src/cinderway/catalog/__init__.py
@@ -10,6 +10,7 @@
     Deregister,
     InstallSheet,
     Register,
+    Reinstate,
     decode_command,
     encode_command,
 )
@@ -72,6 +73,7 @@
     "RegisteredServer",
     "Registry",
     "RegistryChange",
+    "Reinstate",
     "ReplicaAddress",
     "ReplicasAnswer",
     "RetryAnswer",
--- a/src/cinderway/catalog/_commands.py
+++ b/src/cinderway/catalog/_commands.py
@@ -38,6 +38,12 @@
     server: RegisteredServer
 
 
+class Reinstate(msgspec.Struct, frozen=True, tag="reinstate"):
+    """Give a server its place back that a late heartbeat of an earlier start took."""
+
+    server: RegisteredServer
+
+
 class Deregister(msgspec.Struct, frozen=True, tag="deregister"):
     """Take a backend server out for good."""
 
@@ -57,7 +63,7 @@
     http_address: Address = msgspec.field(name="operators_address")
 
 
-Command = InstallSheet | Register | Deregister | AnnounceReplica
+Command = InstallSheet | Register | Reinstate | Deregister | AnnounceReplica
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Command)
--- a/src/cinderway/catalog/_machine.py
+++ b/src/cinderway/catalog/_machine.py
@@ -14,6 +14,7 @@
     Deregister,
     InstallSheet,
     Register,
+    Reinstate,
     decode_command,
 )
 from cinderway.catalog._conversation import CatalogUpdate, ReplicaAddress
@@ -39,6 +40,7 @@
     server_revisions: dict[ServerName, int]
     gone: list[tuple[ServerName, int]]
     replicas: list[AnnounceReplica]
+    displaced: list[RegisteredServer] = []
 
 
 class CatalogMachine:
@@ -66,6 +68,8 @@
                 return self._install(index, command.text)
             case Register(server=server):
                 return self._note(index, self.registry.register(server, index))
+            case Reinstate(server=server):
+                return self._note(index, self.registry.reinstate(server, index))
             case Deregister(server_id=server_id):
                 return self._note(index, self.registry.deregister(server_id, index))
             case AnnounceReplica() as replica:
@@ -82,6 +86,7 @@
             dict(self._server_revisions),
             list(self.registry.gone.items()),
             list(self.replicas.values()),
+            list(self.registry.displaced.values()),
         )
         return lambda: msgspec.msgpack.encode(state)
 
@@ -94,7 +99,7 @@
         self._sheet_revision = state.sheet_revision
         self.sheet_body, self._packed = state.sheet_body, b""
         self.sheet = decode_sheet(state.sheet_body) if state.sheet_body else None
-        self.registry.restore(state.servers, state.gone)
+        self.registry.restore(state.servers, state.gone, state.displaced)
         self._server_revisions = state.server_revisions
         self.replicas = {replica.address: replica for replica in state.replicas}
 
--- a/src/cinderway/catalog/_registry.py
+++ b/src/cinderway/catalog/_registry.py
@@ -3,6 +3,10 @@
 A server has a new id at each start, so an id only ever moves one way: registered,
 leaving, gone. A heartbeat that arrives late can therefore do no harm: it may repeat
 what is known, but never bring back what has left.
+
+One thing it can do: a start that nobody knew yet, and that is over, may be heard of
+only after the next start at its address has registered, and takes that one's place. A
+server whose place was taken is kept in mind, and reinstated when it is heard further.
 """
 
 from collections import OrderedDict
@@ -61,6 +65,8 @@
     def __init__(self):
         self.servers: dict[ServerName, RegisteredServer] = {}
         self.gone: OrderedDict[ServerName, int] = OrderedDict()
+        # Those whose address another start took over; they are among the gone, too.
+        self.displaced: dict[ServerName, RegisteredServer] = {}
         self._by_address: dict[Address, ServerName] = {}
 
     def change_of(self, server: RegisteredServer) -> RegistryChange:
@@ -84,24 +90,51 @@
     def register(self, server: RegisteredServer, revision: int) -> RegistryChange:
         """Take a server's word; return what changed."""
         change = self.change_of(server)
+        self._carry_out(change, revision)
+        return change
+
+    def reinstate(self, server: RegisteredServer, revision: int) -> RegistryChange:
+        """Give a displaced server its place back; return what changed."""
+        known = self.displaced.get(server.server_id)
+        if known is None:
+            return NO_CHANGE
+        if server.status is ServerStatus.LEAVING:
+            known = msgspec.structs.replace(known, status=ServerStatus.LEAVING)
+        holder = self._by_address.get(known.address)
+        change = RegistryChange([known], [holder] if holder else [])
+        self._carry_out(change, revision)
+        return change
+
+    def has_left(self, server_id: ServerName) -> bool:
+        """Whether a server is gone for good."""
+        return server_id in self.gone and server_id not in self.displaced
+
+    def _carry_out(self, change: RegistryChange, revision: int) -> None:
         for server_id in change.gone:
+            self.displaced[server_id] = self.servers[server_id]
             self._drop(server_id, revision)
         for put in change.put:
+            self.gone.pop(put.server_id, None)
+            self.displaced.pop(put.server_id, None)
             self.servers[put.server_id] = put
             self._by_address[put.address] = put.server_id
-        return change
 
     def deregister(self, server_id: ServerName, revision: int) -> RegistryChange:
         """Take a server out for good, known or not; return what changed."""
         if server_id in self.gone:
+            self.displaced.pop(server_id, None)
             return NO_CHANGE
         self._drop(server_id, revision)
         return RegistryChange([], [server_id])
 
     def restore(
-        self, servers: list[RegisteredServer], gone: list[tuple[ServerName, int]]
+        self,
+        servers: list[RegisteredServer],
+        gone: list[tuple[ServerName, int]],
+        displaced: list[RegisteredServer],
     ) -> None:
         """Take over a snapshot's content."""
+        self.displaced = {server.server_id: server for server in displaced}
         self.servers = {server.server_id: server for server in servers}
         self._by_address = {server.address: server.server_id for server in servers}
         self.gone = OrderedDict(gone)
@@ -112,4 +145,5 @@
             del self._by_address[known.address]
         self.gone[server_id] = revision
         while len(self.gone) > GONE_IDS_KEPT:
-            self.gone.popitem(last=False)
+            forgotten, _ = self.gone.popitem(last=False)
+            self.displaced.pop(forgotten, None)
--- a/src/cinderway/control/_catalog_http.py
+++ b/src/cinderway/control/_catalog_http.py
@@ -9,10 +9,11 @@
 """
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
+from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._http_body import whole_body
 from cinderway._ids import Address, DataHall, ServerName, ServiceName
@@ -21,10 +22,12 @@
     InstallSheet,
     Register,
     RegisteredServer,
+    Reinstate,
     ServerStatus,
     decode_sheet,
 )
 from cinderway.control._catalog_service import CatalogService
+from cinderway.control._displaced_heard import DisplacedHeard
 
 logger = logging.getLogger(__name__)
 
@@ -82,6 +85,7 @@
     """The ASGI application of one control replica."""
 
     service: CatalogService
+    heard: DisplacedHeard = field(default_factory=DisplacedHeard)
 
     async def __call__(self, scope, receive, send) -> None:
         """Serve one request."""
@@ -147,24 +151,32 @@
         body = await _read_body(receive, HEARTBEAT_LIMIT_BYTES)
         server = _server_from(server_id, body)
         registry = self.service.machine.registry
-        if not registry.change_of(server).is_empty:
+        if server_id in registry.displaced:
+            if self.heard.is_alive(server_id, monotonic_ms()):
+                await self.service.commands.submit(Reinstate(server))
+                _log_server(server, "reinstated")
+        elif not registry.change_of(server).is_empty:
             await self.service.commands.submit(Register(server))
-            logger.info(
-                "backend server %s of %s at %s is %s",
-                server_id,
-                server.service,
-                server.address,
-                server.status.value,
-            )
+            _log_server(server, server.status.value)
         return Answer(OK)
 
     async def _delete_server(self, server_id: ServerName) -> Answer:
-        if server_id not in self.service.machine.registry.gone:
+        if not self.service.machine.registry.has_left(server_id):
             await self.service.commands.submit(Deregister(server_id))
             logger.info("backend server %s is gone", server_id)
         return Answer(OK)
 
 
+def _log_server(server: RegisteredServer, what: str) -> None:
+    logger.info(
+        "backend server %s of %s at %s is %s",
+        server.server_id,
+        server.service,
+        server.address,
+        what,
+    )
+
+
 def _server_from(server_id: ServerName, body: bytes) -> RegisteredServer:
     try:
         said = _heartbeat_decoder.decode(body)
--- a/tests/catalog/test_machine.py
+++ b/tests/catalog/test_machine.py
@@ -12,6 +12,7 @@
     InstallSheet,
     Register,
     RegisteredServer,
+    Reinstate,
     ServerStatus,
     encode_command,
 )
@@ -49,6 +50,11 @@
         st.sampled_from(ServerStatus),
         st.integers(1, 3),
     ),
+    st.builds(
+        lambda n, a: Reinstate(server(n, address=a)),
+        st.integers(1, 5),
+        st.integers(1, 3),
+    ),
     st.builds(lambda n: Deregister(ServerName(f"i-{n}")), st.integers(1, 5)),
     st.builds(lambda v: InstallSheet(body(v)), st.integers(1, 9)),
     st.builds(lambda v: InstallSheet.of(body(v)), st.integers(1, 9)),
@@ -180,3 +186,53 @@
         text = json.dumps({"version": 1, "rows": rows}).encode()
         self.assertLess(len(pack(text)) * 2, len(text))
         self.assertEqual(unpack(pack(text)), text)
+
+
+class DisplacedTests(unittest.TestCase):
+    """A start that is over is heard of only after the next one at its address."""
+
+    def setUp(self):
+        self.catalog = Catalog()
+        self.catalog.apply(Register(server(2, address=1)))
+        self.catalog.apply(Register(server(1, address=1)))
+
+    @property
+    def registry(self):
+        return self.catalog.machine.registry
+
+    def test_the_one_that_lives_gets_its_place_back(self):
+        self.catalog.apply(Reinstate(server(2, address=1)))
+        self.assertEqual(list(self.registry.servers), ["i-2"])
+        self.assertFalse(self.registry.has_left("i-2"))
+        self.assertFalse(self.registry.has_left("i-1"))
+
+    def test_a_single_late_heartbeat_moves_nobody(self):
+        self.catalog.apply(Register(server(2, address=1)))
+        self.assertEqual(list(self.registry.servers), ["i-1"])
+
+    def test_entries_hear_of_it(self):
+        mirror = CatalogMirror()
+        mirror.install(self.catalog.machine.update_since(0))
+        self.assertEqual(list(mirror.servers), ["i-1"])
+        self.catalog.apply(Reinstate(server(2, address=1)))
+        update = self.catalog.machine.update_since(mirror.revision)
+        self.assertTrue(mirror.install(update))
+        self.assertEqual(list(mirror.servers), ["i-2"])
+
+    def test_one_that_said_it_leaves_comes_back_leaving_only(self):
+        self.catalog.apply(Reinstate(server(2, address=1)))
+        self.catalog.apply(Register(server(2, ServerStatus.LEAVING, address=1)))
+        self.catalog.apply(Register(server(3, address=1)))
+        self.catalog.apply(Reinstate(server(2, address=1)))
+        self.assertIs(self.registry.servers["i-2"].status, ServerStatus.LEAVING)
+
+    def test_one_that_has_left_for_good_is_not_reinstated(self):
+        self.catalog.apply(Deregister(ServerName("i-2")))
+        self.assertTrue(self.registry.has_left("i-2"))
+        self.catalog.apply(Reinstate(server(2, address=1)))
+        self.assertEqual(list(self.registry.servers), ["i-1"])
+
+    def test_a_snapshot_keeps_it_in_mind(self):
+        machine = CatalogMachine()
+        machine.restore(self.catalog.machine.freeze()())
+        self.assertFalse(machine.registry.has_left("i-2"))
--- /dev/null
+++ b/tests/control/test_displaced_heard.py
@@ -0,0 +1,29 @@
+import unittest
+
+from cinderway.control._displaced_heard import (
+    ALIVE_AFTER_MS,
+    ROW_ENDS_AFTER_MS,
+    DisplacedHeard,
+)
+
+
+class DisplacedHeardTests(unittest.TestCase):
+    def setUp(self):
+        self.heard = DisplacedHeard()
+
+    def hear(self, *times_ms):
+        return [self.heard.is_alive("i-1", time_ms) for time_ms in times_ms]
+
+    def test_a_burst_that_a_cut_held_up_does_not_say_that_it_lives(self):
+        self.assertEqual(self.hear(100, 101, 900), [False] * 3)
+
+    def test_one_that_is_heard_again_and_again_lives(self):
+        self.assertEqual(self.hear(0, 1_500, 3_000), [False, False, True])
+
+    def test_heartbeats_far_apart_are_no_row(self):
+        later_ms = ROW_ENDS_AFTER_MS + ALIVE_AFTER_MS
+        self.assertEqual(self.hear(0, later_ms), [False, False])
+
+    def test_servers_are_told_apart(self):
+        self.hear(0, 1_500)
+        self.assertFalse(self.heard.is_alive("i-2", 3_000))
