--- a/tests/entry/fleet/test_catalog_follower.py
+++ b/tests/entry/fleet/test_catalog_follower.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from unittest.mock import patch
 
 import anyio
 
@@ -10,6 +11,7 @@
 from cinderway._settings import CatalogEntrySettings, parse_settings
 from cinderway.entry._blackboard import Blackboard, ServiceState
 from cinderway.entry._catalog_board import CatalogBoard
+from cinderway.entry.fleet import _catalog_follower
 from cinderway.entry.fleet._catalog_follower import LEADER_AGE_LIMIT_MS, CatalogFollower
 from cinderway.entry.fleet._replica_choice import LEADERLESS_AVOID_MS
 from cinderway.judgement import EvidenceLog
@@ -36,6 +38,13 @@
         pass
 
 
+class StalledReplica(SilentReplica):
+    """A connection that stays open and on which nothing comes."""
+
+    async def receive(self):
+        await anyio.sleep_forever()
+
+
 class HearTests(unittest.TestCase):
     def setUp(self):
         settings = parse_settings(
@@ -79,3 +88,9 @@
         self.assertFalse(anyio.run(self.follower.spend, service))
         self.follower.earn(service)
         self.assertTrue(anyio.run(self.follower.spend, service))
+
+    def test_a_replica_whose_connection_went_silent_is_left(self):
+        with patch.object(_catalog_follower, "SILENT_LIMIT_S", 0.01):
+            with self.assertRaises(TimeoutError):
+                anyio.run(self.follower._follow, StalledReplica(), HERE)
+        self.assertFalse(self.follower.is_following)
