routing: take the preference for proven servers out again

Change: gone with its code and the tests of it alone; entries tell loads without it, and a good answer ends an entry's own row of connections that failed by a call of its own. Conclusion: reverted.

--- a/src/cinderway/catalog/_conversation.py
+++ b/src/cinderway/catalog/_conversation.py
@@ -135,20 +135,10 @@
 
 
 class ServerLoad(Message, frozen=True):
-    """How full a server is, as a share of its slots, requests that wait included.
-
-    `is_proven` says that it has just answered a request well.
-    """
+    """How full a server is, as a share of its slots, requests that wait included."""
 
     server: ServerName
     load: float
-    is_proven: bool = False
-
-    def after(self, earlier: "ServerLoad | None") -> "ServerLoad":
-        """Return this with what an earlier one, not passed on yet, has proven."""
-        if earlier is None or not earlier.is_proven:
-            return self
-        return ServerLoad(self.server, self.load, True)
 
 
 class ServerLoads(Message, frozen=True):
--- a/src/cinderway/control/_follower.py
+++ b/src/cinderway/control/_follower.py
@@ -59,8 +59,7 @@
 
     def tell_loads(self, loads: Iterable[ServerLoad]) -> None:
         """Send these with what is sent next, the newest of each server."""
-        for load in loads:
-            self._loads[load.server] = load.after(self._loads.get(load.server))
+        self._loads.update((load.server, load) for load in loads)
         self.wake()
 
     def tell_hall_entries(self, entries: HallEntries) -> None:
--- a/src/cinderway/control/_hall_news.py
+++ b/src/cinderway/control/_hall_news.py
@@ -52,8 +52,7 @@
 
     def take_loads(self, loads: Iterable[ServerLoad]) -> None:
         """Take what an entry told of servers' loads."""
-        for load in loads:
-            self._loads[load.server] = load.after(self._loads.get(load.server))
+        self._loads.update((load.server, load) for load in loads)
         self._loads_changed.set()
 
     def tell_loads(self, loads: list[ServerLoad]) -> None:
--- a/src/cinderway/entry/_blackboard.py
+++ b/src/cinderway/entry/_blackboard.py
@@ -32,8 +32,6 @@
     # The server's own drain signal, seen here or by another entry.
     draining_until_ms: int = 0
     is_listed_leaving: bool = False
-    # Its last good answer, to this entry or to another that told of it.
-    proven_at_ms: int = 0
     pause_until_ms: int = 0
     # It has just failed a request, here or elsewhere in the hall.
     suspect_until_ms: int = 0
@@ -104,9 +102,10 @@
     in_flight: int = 0
     # Entries of the fleet that are live, this one included.
     entry_count: int = 1
-    # Told of each server's load as this entry knows it, and whether it has just been
-    # proven well, where entries share that.
-    on_load: Callable[[ServerName, float, bool], None] | None = None
+    # Told of each server's load as this entry knows it, where entries share that.
+    on_load: Callable[[ServerName, float], None] | None = None
+    # Told of each server that answered this entry well.
+    on_good_answer: Callable[[ServerName], None] | None = None
     table_changed: anyio.Event = field(default_factory=anyio.Event)
 
     def refresh_from_table(self, now_ms: int) -> None:
--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -59,6 +59,7 @@
         self.evidence.on_alarm = self.note_alarm
         self.evidence.on_late_answer = self.note_late_answer
         self.board.on_load = self._note_load
+        self.board.on_good_answer = self._suspicions.note_good
 
     @property
     def is_ready(self) -> bool:
@@ -112,11 +113,8 @@
             return None
         return self.board.services[registered.service].servers[server]
 
-    def _note_load(self, server: ServerName, load: float, is_proven: bool) -> None:
-        if is_proven:
-            self._suspicions.note_good(server)
-        told = ServerLoad(server, load, is_proven)
-        self._loads[server] = told.after(self._loads.get(server))
+    def _note_load(self, server: ServerName, load: float) -> None:
+        self._loads[server] = ServerLoad(server, load)
         self.loads_changed.set()
 
     def take_loads(self) -> ServerLoads:
@@ -150,11 +148,8 @@
         """Take over what other entries of the hall know."""
         for told in message.servers:
             server = self._state_of(told.server)
-            if server is None:
-                continue
-            server.note_load(told.load, now_ms)
-            if told.is_proven:
-                server.proven_at_ms = now_ms
+            if server is not None:
+                server.note_load(told.load, now_ms)
 
     def install(self, update: CatalogUpdate, now_ms: int) -> bool:
         """Put an update in force; False if it is not newer than what is."""
--- a/src/cinderway/entry/callers/_policies.py
+++ b/src/cinderway/entry/callers/_policies.py
@@ -15,7 +15,7 @@
 # A repeatable request that fails goes to another server at once. For one that cannot be
 # sent again a failure is final, while waiting for a slot is not.
 REPEATABLE_PENALTIES = Penalties(other_hall=0.7, suspect=1.5)
-ONCE_PENALTIES = Penalties(other_hall=0.7, suspect=2.0, doubt=1.0)
+ONCE_PENALTIES = Penalties(other_hall=0.7, suspect=2.0)
 # A large answer from another hall costs more than a long wait for one from the own,
 # and more than a second try.
 DOWNLOAD_PENALTIES = Penalties(other_hall=2.0, suspect=1.5)
--- a/src/cinderway/entry/servers/_candidates.py
+++ b/src/cinderway/entry/servers/_candidates.py
@@ -2,15 +2,12 @@
 
 from cinderway._ids import DataHall
 from cinderway.entry._blackboard import ServerState
-from cinderway.judgement import doubt_left, suspicion_left
+from cinderway.judgement import suspicion_left
 from cinderway.routing import Candidate
 
 # Loads are shared within a hall only. Of another hall's servers it is assumed that they
 # are at least half as full as the own ones: callers come to all halls at once.
 FAR_LOAD_SHARE = 0.5
-# What another hall's servers answer its entries is not told here either; it is assumed
-# that those which are in use there have answered lately.
-FAR_DOUBT = 0.5
 # A server that has just started takes about twice as long for each request.
 COLD_SHARE = 0.5
 
@@ -57,11 +54,5 @@
         in_flight=server.in_flight,
         known_load=known_load,
         suspicion=suspicion_left(server.suspect_until_ms, now_ms),
-        doubt=_doubt(server, own_hall, now_ms),
         share=server.share * (COLD_SHARE if is_cold else 1),
     )
-
-
-def _doubt(server: ServerState, own_hall: DataHall, now_ms: int) -> float:
-    doubt = doubt_left(server.proven_at_ms, server.load_known_at_ms, now_ms)
-    return doubt if server.row.data_hall == own_hall else FAR_DOUBT
--- a/src/cinderway/entry/servers/_dispatch.py
+++ b/src/cinderway/entry/servers/_dispatch.py
@@ -222,25 +222,23 @@
         if answer.header(DRAIN_HEADER) is not None:
             server.draining_until_ms = now_ms + DRAIN_VALID_MS
             self.evidence.drain_seen(attempt)
-        is_proven = answer.status < SERVER_ERROR and not answer.is_shed
-        if is_proven:
-            server.proven_at_ms = now_ms
+        is_good = answer.status < SERVER_ERROR and not answer.is_shed
+        if is_good and self.board.on_good_answer is not None:
+            self.board.on_good_answer(server.row.name)
         reported = parse_load(answer.header(answer.names.load))
         if reported is not None:
-            self._note_load(server, reported, now_ms, is_proven=is_proven)
+            self._note_load(server, reported, now_ms)
 
     def _note_send(self, server: ServerState, now_ms: int) -> None:
         """Count a request at once, before the server's next answer tells of it."""
         if server.tells_load:
             load = server.load_at(now_ms) + 1 / server.row.slots
-            self._note_load(server, load, now_ms, is_proven=False)
+            self._note_load(server, load, now_ms)
 
-    def _note_load(
-        self, server: ServerState, load: float, now_ms: int, *, is_proven: bool
-    ) -> None:
+    def _note_load(self, server: ServerState, load: float, now_ms: int) -> None:
         server.note_load(load, now_ms)
         if self.board.on_load is not None:
-            self.board.on_load(server.row.name, load, is_proven)
+            self.board.on_load(server.row.name, load)
 
     def _shed_pause_ms(self, service: ServiceState) -> int:
         share = SHED_PAUSE_SHARE + self.board.rng.random()
--- a/src/cinderway/judgement/__init__.py
+++ b/src/cinderway/judgement/__init__.py
@@ -17,7 +17,6 @@
     VerdictSheet,
     evidence_from,
 )
-from cinderway.judgement._doubt import doubt_left
 from cinderway.judgement._evidence import (
     PIECE_BYTES,
     Attempt,
@@ -59,7 +58,6 @@
     "Suspicions",
     "VerdictSheet",
     "assessors_of",
-    "doubt_left",
     "evidence_from",
     "floor_slots_of",
     "group_of",
--- a/src/cinderway/routing/_choose.py
+++ b/src/cinderway/routing/_choose.py
@@ -23,13 +23,12 @@
 class Penalties:
     """What counts against a server, as shares of its slots.
 
-    By so much must a server of another hall, one that failed a request just now, or
-    one that has not answered for long, look emptier than the others to be chosen.
+    By so much must a server of another hall, or one that failed a request just now,
+    look emptier than the others before it is chosen.
     """
 
     other_hall: float = OTHER_HALL_PENALTY
     suspect: float = SUSPECT_PENALTY
-    doubt: float = 0.0
 
 
 USUAL_PENALTIES = Penalties()
@@ -42,8 +41,7 @@
     `in_flight` counts this entry's own requests; `known_load` is the share of
     slots that others fill too, as far as known, 0 if not. `share` scales the
     weight down during slow start or on probation, over 0 up to 1. `suspicion` is 1
-    just after it failed a request and fades to 0; `doubt` is 0 just after a good answer
-    and grows to 1.
+    just after it failed a request and fades to 0.
     """
 
     name: ServerName
@@ -54,7 +52,6 @@
     known_load: float
     share: float = 1.0
     suspicion: float = 0.0
-    doubt: float = 0.0
 
 
 def choose(
@@ -74,7 +71,6 @@
         if candidate.name in exclude:
             continue
         penalty = penalties.suspect * candidate.suspicion
-        penalty += penalties.doubt * candidate.doubt
         if candidate.data_hall != own_hall:
             penalty += penalties.other_hall
         score = _score(candidate, penalty) + rng.random() * TIE_BREAK
--- a/src/cinderway/wire/schemas/catalog.capnp
+++ b/src/cinderway/wire/schemas/catalog.capnp
@@ -99,7 +99,6 @@
 struct ServerLoad {
   server @0 :Text;
   load @1 :Float32;
-  isProven @2 :Bool;
 }
 
 struct ServerLoads {
--- a/tests/control/test_hall_news.py
+++ b/tests/control/test_hall_news.py
@@ -17,7 +17,7 @@
 from cinderway.judgement import FADES_MS
 
 HALLS = {"10.1.0.1:7100": "suva", "10.1.0.2:7100": "suva", "10.2.0.1:7100": "nadi"}
-LOADS = [ServerLoad("i-1", 0.5, True)]
+LOADS = [ServerLoad("i-1", 0.5)]
 
 
 def replica(address):
--- a/tests/entry/fleet/test_hall_peers.py
+++ b/tests/entry/fleet/test_hall_peers.py
@@ -44,14 +44,13 @@
         self.assertGreater(server_of(other, "a").suspect_until_ms, monotonic_ms())
         self.assertEqual(server_of(other, "b").suspect_until_ms, 0)
 
-    def test_loads_and_good_answers_are_told(self):
+    def test_loads_are_told(self):
         one, other = entry("e1"), entry("e2")
-        one.state.board.on_load("b", 0.5, True)
+        one.state.board.on_load("b", 0.5)
         for message in one.news():
             other.hear(one.seal(message))
         server = server_of(other, "b")
         self.assertEqual(server.known_load, 0.5)
-        self.assertGreater(server.proven_at_ms, 0)
 
     def test_news_is_told_once(self):
         one = entry("e1")
@@ -71,7 +70,7 @@
     def test_a_datagram_stays_below_the_size_at_which_it_is_split(self):
         one = entry("e1")
         for number in range(3 * SERVERS_A_DATAGRAM):
-            one.state.board.on_load(f"i-{number:010x}", 1.0, True)
+            one.state.board.on_load(f"i-{number:010x}", 1.0)
         sizes = [len(one.seal(message)) for message in one.news()]
         self.assertEqual(len(sizes), 3)
         self.assertLess(max(sizes), 1_400)
@@ -86,7 +85,7 @@
                 tasks.start_soon(other.run)
                 with anyio.fail_after(20):
                     while not other.heard:
-                        one.state.board.on_load("a", 0.75, True)
+                        one.state.board.on_load("a", 0.75)
                         await anyio.sleep(0.01)
                 tasks.cancel_scope.cancel()
 
@@ -96,7 +95,7 @@
 
     def test_an_entry_that_follows_control_leaves_its_news_to_it(self):
         one = entry("e1", is_alone=False)
-        one.state.board.on_load("a", 0.75, True)
+        one.state.board.on_load("a", 0.75)
 
         async def run():
             with anyio.move_on_after(0.3):
@@ -104,6 +103,4 @@
 
         anyio.run(run)
         self.assertEqual(one.told, 0)
-        self.assertEqual(
-            one.state.take_loads(), ServerLoads([ServerLoad("a", 0.75, True)])
-        )
+        self.assertEqual(one.state.take_loads(), ServerLoads([ServerLoad("a", 0.75)]))
--- a/tests/entry/test_catalog_board.py
+++ b/tests/entry/test_catalog_board.py
@@ -102,38 +102,11 @@
         self.assertEqual(self.servers["a"].known_load, 0.5)
 
 
-class DoubtTests(SharedLoadTests):
-    """What a good answer of one entry says to the others of its hall."""
-
-    def prove(self, *names):
-        told = [ServerLoad(ServerName(name), 0.0, True) for name in names]
-        self.state.hear_loads(ServerLoads(told), monotonic_ms())
-
-    def test_of_two_idle_servers_the_one_that_has_just_answered_is_chosen(self):
-        self.hear(a=0.0, b=0.0)
-        self.prove("b")
-        chosen = {self.choice(Penalties(doubt=1.0)) for _ in range(20)}
-        self.assertEqual(chosen, {"b"})
-
-    def test_a_server_that_nobody_has_tried_for_long_is_chosen_like_a_proven_one(self):
-        self.prove("b")
-        chosen = {self.choice(Penalties(doubt=1.0)) for _ in range(40)}
-        self.assertEqual(chosen, {"a", "b"})
-
-    def test_a_proof_is_not_lost_when_a_newer_load_is_told_with_it(self):
-        server = self.servers["a"]
-        server.tells_load = True
-        now_ms = monotonic_ms()
-        self.dispatcher._note_load(server, 0.5, now_ms, is_proven=True)
-        self.dispatcher._note_send(server, now_ms)
-        self.assertEqual(self.state.take_loads().servers, [ServerLoad("a", 0.75, True)])
-
-
 class LoadsChangedTests(unittest.TestCase):
     def test_who_waits_for_loads_is_woken_though_others_took_none_meanwhile(self):
         board = Blackboard(EntryName("e1"), SUVA, random.Random(1))
         state = CatalogBoard(board, EvidenceLog(), lone_retry_percent=5)
         awaited = state.loads_changed
         state.take_loads()
-        board.on_load(ServerName("a"), 0.5, False)
+        board.on_load(ServerName("a"), 0.5)
         self.assertTrue(awaited.is_set())
