control: an entry that was restarted hears of its hall's entries again

Cause (found by reading the diff): the hall's entries were told of each other when the list of addresses changed; an entry that restarts at its address within a second changes no address, and knew nobody for when control is away. Change: told whenever who follows changes. The test failed before (20 s without).

--- a/src/cinderway/control/_hall_news.py
+++ b/src/cinderway/control/_hall_news.py
@@ -88,16 +88,17 @@
 
     async def _share_hall_entries(self) -> None:
         """Tell the own hall's entries of each other, for when control is away."""
-        told: HallEntries | None = None
+        told_to: set[Follower] = set()
         while True:
             await anyio.sleep(HALL_ENTRIES_PAUSE_S)
-            home = [f for f in self.followers if f.data_hall == self.own.data_hall]
+            home = {f for f in self.followers if f.data_hall == self.own.data_hall}
+            if home == told_to:
+                continue
+            # Also where the addresses are the same: one that was restarted knows none.
+            told_to = home
             addresses = sorted(f.peers_address for f in home if f.peers_address)
-            entries = HallEntries(addresses)
-            if entries != told:
-                told = entries
-                for follower in home:
-                    follower.tell_hall_entries(entries)
+            for follower in home:
+                follower.tell_hall_entries(HallEntries(addresses))
 
     def _hall_replicas(self) -> list[Address]:
         """Return the other replicas of the own hall.
--- a/tests/control/test_hall_news.py
+++ b/tests/control/test_hall_news.py
@@ -1,6 +1,7 @@
 """What entries know of servers' loads is shared by all replicas of their hall."""
 
 import unittest
+from unittest.mock import patch
 
 import anyio
 
@@ -13,6 +14,7 @@
     SuspectServers,
     encode_command,
 )
+from cinderway.control import _hall_news
 from cinderway.control._hall_news import HallNews
 from cinderway.judgement import FADES_MS
 
@@ -37,9 +39,14 @@
 class Follower:
     """An entry that follows; keeps what it is told."""
 
-    def __init__(self, hall):
+    def __init__(self, hall, peers_address=""):
         self.data_hall = DataHall(hall)
+        self.peers_address = Address(peers_address)
         self.loads = []
+        self.hall_entries = []
+
+    def tell_hall_entries(self, entries):
+        self.hall_entries.append(entries.addresses)
 
     def tell_loads(self, loads):
         self.loads.extend(loads)
@@ -86,3 +93,24 @@
         anyio.run(tell)
         told = SuspectServers(["i-1", "i-2"], [FADES_MS, 100])
         self.assertEqual([message for _, message in self.calls.told], [told, told])
+
+    def test_an_entry_that_was_restarted_hears_of_its_hall_again(self):
+        first, again = (Follower("suva", "10.1.0.9:7101") for _ in range(2))
+        self.news.followers = {first, self.far}
+
+        async def restart():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.news.run)
+                with anyio.fail_after(20):
+                    while not first.hall_entries:
+                        await anyio.sleep(0.001)
+                    self.news.followers = {again, self.far}
+                    while not again.hall_entries:
+                        await anyio.sleep(0.001)
+                tasks.cancel_scope.cancel()
+
+        with patch.object(_hall_news, "HALL_ENTRIES_PAUSE_S", 0.001):
+            anyio.run(restart)
+        self.assertEqual(first.hall_entries, [["10.1.0.9:7101"]])
+        self.assertEqual(again.hall_entries, [["10.1.0.9:7101"]])
+        self.assertEqual(self.far.hall_entries, [])
