--- a/src/cinderway/entry/callers/_policies.py
+++ b/src/cinderway/entry/callers/_policies.py
@@ -29,7 +29,7 @@
     to come within the objective.
     """
     # Without second tries 14.8% of all requests failed in place of 6.7% where servers
-    # hang in bursts (one simulated day, no other fault).
+    # hang in bursts (one simulated calm day).
     if not objective_ms:
         return pace.slow_ms
     latest_ms = max(objective_ms - pace.usual_ms, pace.usual_ms)
--- a/src/cinderway/judgement/_evidence.py
+++ b/src/cinderway/judgement/_evidence.py
@@ -41,7 +41,7 @@
 
 # What makes a server suspect at once. A slow answer does not: under load it says more
 # about the service than about the server. Without overdue requests 9.8% of all requests
-# failed in place of 6.7% where servers hang in bursts (one simulated day, no other fault).
+# failed in place of 6.7% where servers hang in bursts (one simulated calm day).
 ALARMS = frozenset({Bad.ERROR, Bad.UNREACHABLE, Bad.CUT, Bad.OVERDUE})
 
 
