limits: second tries beside slow ones leave room in the budget for failures

Change: a pool grants a second try beside a slow attempt only what as many failures as in the last window leave over; a failure may take all. What adapts is what was seen.

--- a/src/cinderway/catalog/_conversation.py
+++ b/src/cinderway/catalog/_conversation.py
@@ -79,9 +79,13 @@
 
 
 class TakeRetry(Message, frozen=True):
-    """Ask for one retry out of the budget that the hall's entries share."""
+    """Ask for one retry out of the budget that the hall's entries share.
+
+    `after_failure` tells one after a failure from one beside an attempt that is slow.
+    """
 
     service: ServiceName
+    after_failure: bool = True
 
 
 class RetryAnswer(Message, frozen=True):
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -11,7 +11,6 @@
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError
-from cinderway._ids import ServiceName
 from cinderway.catalog import (
     CATALOG,
     AnnounceReplica,
@@ -153,14 +152,19 @@
                 case ServerLoads(servers=loads):
                     self.news.tell_loads(loads)
                     return Done()
-                case TakeRetry(service=service):
-                    return RetryAnswer(self._take_retry(service))
+                case TakeRetry() as asked:
+                    return RetryAnswer(self._take_retry(asked))
         except CinderwayError as error:
             return failure_from(error, self.node.leader_address)
         raise AssertionError(f"no answer for {type(message).__name__}")
 
-    def _take_retry(self, service: ServiceName) -> bool:
-        return self.retry_pools.take(service, len(self.followers), monotonic_ms())
+    def _take_retry(self, asked: TakeRetry) -> bool:
+        return self.retry_pools.take(
+            asked.service,
+            len(self.followers),
+            monotonic_ms(),
+            after_failure=asked.after_failure,
+        )
 
     async def _feed(self, connection: Connection, request: FollowCatalog) -> None:
         follower = Follower(
--- a/src/cinderway/control/_retry_pools.py
+++ b/src/cinderway/control/_retry_pools.py
@@ -27,9 +27,17 @@
         """Note first requests of a service."""
         self._pool_of(service, entries, now_ms).earn(requests, now_ms)
 
-    def take(self, service: ServiceName, entries: int, now_ms: int) -> bool:
+    def take(
+        self,
+        service: ServiceName,
+        entries: int,
+        now_ms: int,
+        *,
+        after_failure: bool = True,
+    ) -> bool:
         """Take one retry; False if there is none left."""
-        return self._pool_of(service, entries, now_ms).take(now_ms)
+        pool = self._pool_of(service, entries, now_ms)
+        return pool.take(now_ms, after_failure=after_failure)
 
     def _pool_of(self, service: ServiceName, entries: int, now_ms: int) -> RetryPool:
         pool = self._pools.get(service)
--- a/src/cinderway/entry/callers/_attempts.py
+++ b/src/cinderway/entry/callers/_attempts.py
@@ -33,8 +33,10 @@
     def earn(self, service: ServiceState) -> None:
         """Note a request that came in."""
 
-    async def spend(self, service: ServiceState) -> bool:
-        """Take one retry; False if there is none left."""
+    async def spend(self, service: ServiceState, *, after_failure: bool = True) -> bool:
+        """Take one retry, after a failure or beside a slow attempt; False if none is
+        left.
+        """
 
 
 class OwnRetries:
@@ -44,7 +46,7 @@
         """Note a request that came in."""
         service.budget.earn()
 
-    async def spend(self, service: ServiceState) -> bool:
+    async def spend(self, service: ServiceState, *, after_failure: bool = True) -> bool:
         """Take one retry; False if there is none left."""
         return service.budget.spend()
 
@@ -127,7 +129,7 @@
             return await attempt()
 
         async def may_hedge() -> bool:
-            if not await self.budget.spend(service):
+            if not await self.budget.spend(service, after_failure=False):
                 return False
             self.metrics.count("hedges_total", {"service": service.row.name})
             return True
--- a/src/cinderway/entry/fleet/_catalog_follower.py
+++ b/src/cinderway/entry/fleet/_catalog_follower.py
@@ -119,7 +119,7 @@
         else:
             self._reports.first_requests[service.row.name] += 1
 
-    async def spend(self, service: ServiceState) -> bool:
+    async def spend(self, service: ServiceState, *, after_failure: bool = True) -> bool:
         """Take one retry from the shared budget; False if there is none left."""
         connection = self._connection
         if connection is None:
@@ -129,7 +129,9 @@
         asked = self._asked[call_id] = _Asked()
         try:
             with anyio.fail_after(RETRY_TIMEOUT_S):
-                await connection.send(TakeRetry(service.row.name), call_id)
+                await connection.send(
+                    TakeRetry(service.row.name, after_failure), call_id
+                )
                 await asked.done.wait()
         except (CinderwayError, TimeoutError) as error:
             logger.info("no retry granted: %s", str(error) or "no answer in time")
--- a/src/cinderway/wire/schemas/catalog.capnp
+++ b/src/cinderway/wire/schemas/catalog.capnp
@@ -64,6 +64,7 @@
 
 struct TakeRetry {
   service @0 :Text;
+  afterFailure @1 :Bool;
 }
 
 struct RetryAnswer {
--- a/tests/limits/test_retry_pool.py
+++ b/tests/limits/test_retry_pool.py
@@ -52,6 +52,22 @@
         pool.extra = 5
         self.assertEqual(taken(pool, WINDOW_MS), 3)
 
+    def test_second_tries_beside_slow_ones_leave_room_for_as_many_failures(self):
+        pool = RetryPool(percent=0, extra=10, ramped_at_ms=0)
+        self.assertEqual(taken(pool, WINDOW_MS, asked=4), 4)
+        slow = [pool.take(WINDOW_MS, after_failure=False) for _ in range(9)]
+        self.assertEqual(sum(slow), 6)
+
+    def test_refused_failures_make_room_for_those_to_come(self):
+        pool = RetryPool(percent=0, extra=10, ramped_at_ms=0)
+        slow = [pool.take(WINDOW_MS, after_failure=False) for _ in range(20)]
+        self.assertEqual(sum(slow), 10)
+        self.assertEqual(taken(pool, WINDOW_MS + 1, asked=7), 0)
+        later_ms = 2 * WINDOW_MS
+        slow = [pool.take(later_ms, after_failure=False) for _ in range(20)]
+        self.assertEqual(sum(slow), 3)
+        self.assertEqual(taken(pool, later_ms, asked=7), 7)
+
     @given(events, st.integers(0, 30), st.integers(2, 20))
     def test_no_window_grants_more_than_its_share_and_the_extra(
         self, events, percent, extra
@@ -61,7 +77,10 @@
         for pause_ms, requests, asked in events:
             now_ms += pause_ms
             pool.earn(requests, now_ms)
-            granted = sum(pool.take(now_ms) for _ in range(asked))
+            granted = sum(
+                pool.take(now_ms, after_failure=number % 3 == 0)
+                for number in range(asked)
+            )
             happened.append((now_ms, requests, granted))
         for end_ms, _, _ in happened:
             window = [h for h in happened if end_ms - WINDOW_MS < h[0] <= end_ms]
