--- a/src/cinderway/control/_catalog_daemon.py
+++ b/src/cinderway/control/_catalog_daemon.py
@@ -23,6 +23,8 @@
 from cinderway.control._catalog_service import CatalogService
 from cinderway.control._commands import Commands, ReplicaCalls
 from cinderway.control._hall_assessor import HallAssessor, JudgementRules
+from cinderway.control._hall_news import HallNews
+from cinderway.control._hall_service import HallService
 from cinderway.control._retry_pools import RetryPools
 from cinderway.replication import DataFolder, Node, NodeSettings, Timing
 from cinderway.wire import Identity, serve_connections
@@ -66,8 +68,12 @@
         own,
         calls,
         Commands(node, machine, calls, 2 * settings.tolerated_losses + 1),
-        assessor=HallAssessor(rules),
-        retry_pools=RetryPools(settings.retry_percent, settings.retry_burst),
+        HallService(
+            machine,
+            HallNews(own, machine, calls),
+            HallAssessor(rules),
+            RetryPools(settings.retry_percent, settings.retry_burst),
+        ),
     )
     async with anyio.create_task_group() as tasks:
         routes = (node.route, service.route)
@@ -138,5 +144,5 @@
         "catalog_revision": float(service.machine.revision),
         "catalog_servers": float(len(service.machine.registry.servers)),
         "sheet_version": float(sheet.version if sheet else 0),
-        "entries_following": float(len(service.followers)),
+        "entries_following": float(len(service.hall.followers)),
     }
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -5,7 +5,7 @@
 """
 
 import logging
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import anyio
 
@@ -28,10 +28,7 @@
 )
 from cinderway.control._commands import Commands, ReplicaCalls
 from cinderway.control._follower import Follower
-from cinderway.control._hall_assessor import HallAssessor
-from cinderway.control._hall_news import HallNews
-from cinderway.control._retry_pools import RetryPools
-from cinderway.control._verdict_news import VerdictNews
+from cinderway.control._hall_service import HallService
 from cinderway.replication import Node
 from cinderway.wire import (
     Connection,
@@ -45,33 +42,20 @@
 
 # Between two tries to announce this replica.
 ANNOUNCE_PAUSE_S = 0.5
-# Between two looks for observations to judge.
-ASSESS_PAUSE_S = 0.1
 # Stands also for a leader never heard from; the heartbeat's field has 32 bits.
 MAXIMUM_LEADER_AGE_MS = 2**31
 
 
 @dataclass
 class CatalogService:
-    """Hands out the catalog, takes evidence, grants retries."""
+    """Hands out the catalog, and brings what entries say to the hall's service."""
 
     node: Node
     machine: CatalogMachine
     own: AnnounceReplica
     calls: ReplicaCalls
     commands: Commands
-    assessor: HallAssessor
-    retry_pools: RetryPools
-    news: HallNews = field(init=False)
-    verdicts: VerdictNews = field(default_factory=VerdictNews)
-
-    def __post_init__(self):
-        self.news = HallNews(self.own, self.machine, self.calls)
-
-    @property
-    def followers(self) -> set[Follower]:
-        """The entries that follow here."""
-        return self.news.followers
+    hall: HallService
 
     @property
     def route(self) -> Route:
@@ -83,8 +67,7 @@
         async with anyio.create_task_group() as tasks:
             self.calls.start(tasks)
             tasks.start_soon(self._announce)
-            tasks.start_soon(self._assess)
-            tasks.start_soon(self.news.run)
+            tasks.start_soon(self.hall.run)
             await self._wake_followers()
 
     def leader_age_ms(self) -> int:
@@ -106,9 +89,9 @@
                         case FollowCatalog() as request:
                             tasks.start_soon(self._feed, connection, request)
                         case EvidenceBatch() as batch:
-                            self._take_evidence(batch)
+                            self.hall.take_evidence(batch)
                         case ServerLoads(servers=loads) if not envelope.call_id:
-                            self.news.take_loads(loads)
+                            self.hall.news.take_loads(loads)
                         case message:
                             tasks.start_soon(
                                 self._answer, connection, envelope.call_id, message
@@ -117,18 +100,6 @@
                 logger.debug("a conversation with %s ended: %s", name, error)
                 tasks.cancel_scope.cancel()
 
-    def _take_evidence(self, batch: EvidenceBatch) -> None:
-        now_ms = monotonic_ms()
-        self.assessor.take(batch, now_ms)
-        for service, count in zip(batch.services, batch.first_requests, strict=True):
-            self.retry_pools.earn(service, count, len(self.followers), now_ms)
-        suspects = self.assessor.new_suspects(now_ms)
-        if suspects is not None:
-            logger.info(
-                "suspect: %s; failed at %s", ",".join(suspects.servers), batch.entry
-            )
-            self.news.take_suspects(suspects)
-
     async def _answer(
         self, connection: Connection, call_id: int, message: Message
     ) -> None:
@@ -147,25 +118,17 @@
                     await self.commands.propose(data)
                     return Done()
                 case SuspectServers() as suspects:
-                    self.news.hear_suspects(suspects)
+                    self.hall.news.hear_suspects(suspects)
                     return Done()
                 case ServerLoads(servers=loads):
-                    self.news.hear_loads(loads)
+                    self.hall.news.hear_loads(loads)
                     return Done()
                 case TakeRetry() as asked:
-                    return RetryAnswer(self._take_retry(asked))
+                    return RetryAnswer(self.hall.take_retry(asked))
         except CinderwayError as error:
             return failure_from(error, self.node.leader_address)
         raise AssertionError(f"no answer for {type(message).__name__}")
 
-    def _take_retry(self, asked: TakeRetry) -> bool:
-        return self.retry_pools.take(
-            asked.service,
-            len(self.followers),
-            monotonic_ms(),
-            after_failure=asked.after_failure,
-        )
-
     async def _feed(self, connection: Connection, request: FollowCatalog) -> None:
         follower = Follower(
             request.entry,
@@ -177,7 +140,7 @@
             lambda: self.node.core.has_caught_up,
             request.peers_address,
         )
-        self.followers.add(follower)
+        self.hall.followers.add(follower)
         logger.info(
             "entry %s follows from revision %d", request.entry, request.known_revision
         )
@@ -187,33 +150,20 @@
             logger.info("entry %s no longer follows: %s", request.entry, error)
             await connection.aclose()
         finally:
-            self.followers.discard(follower)
+            self.hall.followers.discard(follower)
 
     def _heartbeat(self) -> CatalogHeartbeat:
         return CatalogHeartbeat(
-            self.leader_age_ms(), self.machine.revision, len(self.followers)
+            self.leader_age_ms(), self.machine.revision, len(self.hall.followers)
         )
 
     async def _wake_followers(self) -> None:
         """Let followers look for updates whenever an entry of the log is applied."""
         while True:
             await self.node.wait_applied()
-            for follower in self.followers:
+            for follower in self.hall.followers:
                 follower.wake()
 
-    async def _assess(self) -> None:
-        """Tell the entries of each hall its verdicts, as observations come in."""
-        while True:
-            await anyio.sleep(ASSESS_PAUSE_S)
-            if not self.assessor.has_news(monotonic_ms()):
-                continue
-            now_ms = monotonic_ms()
-            self.verdicts.take(self.assessor.decide(self.machine, now_ms), now_ms)
-            for follower in self.followers:
-                frame = self.verdicts.frame_for(follower.data_hall)
-                if frame is not None:
-                    follower.tell_verdicts(frame)
-
     async def _announce(self) -> None:
         """Tell the fleet where this replica is, once it is a member of the group."""
         while self.machine.replicas.get(self.own.address) != self.own:
