--- a/src/cinderway/_cli/_main.py
+++ b/src/cinderway/_cli/_main.py
@@ -7,6 +7,7 @@
 
 from cinderway import __version__
 from cinderway._cli._claims import claims
+from cinderway._cli._experiment import experiment
 from cinderway._cli._options import exit_on_error, with_settings
 from cinderway._cli._report import report
 from cinderway._cli._table import table
@@ -28,6 +29,7 @@
 app.add_typer(table, name="table")
 app.add_typer(claims, name="claims")
 app.add_typer(report, name="report")
+app.command()(experiment)
 
 Folder = Annotated[Path, typer.Option(help="The new replica's data folder.")]
 Listen = Annotated[str, typer.Option(help="The new replica's IP-number:port.")]
--- /dev/null
+++ b/src/cinderway/experiment/_connections.py
@@ -0,0 +1,138 @@
+"""An entry's connections to model servers, in place of those over the network."""
+
+from collections import Counter
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import TaskGroup
+
+from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._ids import Address, AttemptId, DataHall, ServerName
+from cinderway.entry.servers._messages import BackendAnswer, BackendRequest
+from cinderway.experiment._declaration import Experiment
+from cinderway.experiment._servers import ModelServer, ServerAnswer
+from cinderway.limits import ConnectLimit
+
+
+@dataclass
+class ModelConnections:
+    """Sends requests to model servers; the way takes its time.
+
+    `opened` counts connections that were made, as those over the network do;
+    `far_bytes` is what answers from other halls came to.
+    """
+
+    experiment: Experiment
+    servers: dict[Address, ModelServer]
+    data_hall: DataHall
+    tasks: TaskGroup
+    idle_limit: int = 64
+    opened: int = 0
+    far_bytes: int = 0
+    is_dark: bool = False
+    _idle: Counter[Address] = field(default_factory=Counter)
+    _connect_limit: ConnectLimit = field(default_factory=ConnectLimit)
+
+    async def send(
+        self,
+        address: Address,
+        request: BackendRequest,
+        attempt_id: AttemptId,
+        deadline_ms: int,
+        *,
+        fresh: bool,
+        expected: ServerName | None = None,
+    ) -> BackendAnswer:
+        """Send a request and return its answer's head. Raises CinderwayError."""
+        server = self.servers[address]
+        way_s = self._way_ms(server) / 1000
+        if not fresh and self._idle[address]:
+            self._idle[address] -= 1
+        else:
+            await self._connect(server, way_s)
+        await anyio.sleep(way_s)
+        answer = await self._run(server, deadline_ms)
+        await anyio.sleep(way_s)
+        connection = _ModelConnection(self, address)
+        size = int(request.target.rpartition(b"/")[2]) if answer.is_good else 0
+        if server.data_hall != self.data_hall:
+            self.far_bytes += size
+        return BackendAnswer(
+            answer.status, answer.headers, _ModelBody(size), connection
+        )
+
+    def give_back(self, address: Address) -> None:
+        """Keep a connection for the next request."""
+        self._idle[address] = min(self._idle[address] + 1, self.idle_limit)
+
+    def _way_ms(self, server: ModelServer) -> float:
+        is_near = server.data_hall == self.data_hall
+        return self.experiment.own_hall_ms if is_near else self.experiment.other_hall_ms
+
+    async def _connect(self, server: ModelServer, way_s: float) -> None:
+        if server.is_dark:
+            await anyio.sleep(self._connect_limit.limit_ms / 1000)
+            self._connect_limit.note_missed()
+            raise CinderwayError(
+                ErrorCode.BACKEND_FAILED,
+                "cannot connect: timed out",
+                step=Step.CONNECT,
+                peer=server.address,
+            )
+        await anyio.sleep(2 * way_s)
+        self._connect_limit.note_made(2000 * way_s)
+        self.opened += 1
+
+    async def _run(self, server: ModelServer, deadline_ms: int) -> ServerAnswer:
+        """Let the server work; it stops when this side closes the connection.
+
+        A side without power closes nothing: the server works on.
+        """
+        run = _Run()
+        self.tasks.start_soon(run.work, server, deadline_ms)
+        try:
+            await run.done.wait()
+        finally:
+            if run.answer is None and not self.is_dark:
+                run.scope.cancel()
+        return run.answer
+
+
+@dataclass
+class _Run:
+    """One request at a server, in a task of the server's own."""
+
+    done: anyio.Event = field(default_factory=anyio.Event)
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    answer: ServerAnswer | None = None
+
+    async def work(self, server: ModelServer, deadline_ms: int) -> None:
+        with self.scope:
+            if server.is_dark:
+                await anyio.sleep_forever()
+            answer = await server.answer(deadline_ms)
+            if server.is_dark:
+                await anyio.sleep_forever()
+            self.answer = answer
+            self.done.set()
+
+
+@dataclass
+class _ModelBody:
+    size_bytes: int
+
+    async def aiter_stream(self) -> AsyncIterator[bytes]:
+        yield bytes(self.size_bytes)
+
+
+@dataclass
+class _ModelConnection:
+    pool: ModelConnections
+    address: Address
+    is_reusable: bool = False
+    idle_limit_ms: int = 0
+
+    async def give_back(self, response: object) -> None:
+        if self.is_reusable:
+            self.pool.give_back(self.address)
--- /dev/null
+++ b/src/cinderway/experiment/_servers.py
@@ -0,0 +1,137 @@
+"""Model backend servers: slots, a queue, work that takes time, bursts of failures."""
+
+import math
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+import anyio
+
+from cinderway._clock import monotonic_ms
+from cinderway._ids import Address, DataHall, ServerName
+from cinderway.entry.servers._messages import LOAD_HEADER, NOT_RUN, OUTCOME_HEADER
+from cinderway.experiment._declaration import BurstFailure, ModelService
+
+OK = 200
+FAILED = 500
+REFUSED = 503
+TIMED_OUT = 504
+# A request that fails in a burst fails before any work is done.
+FAILS_AFTER_MS = 1.0
+# Bursts and the pauses between them are half as long to one and a half times as long.
+LEAST_PART = 0.5
+
+
+@dataclass
+class ServerAnswer:
+    """What a model server sends back."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+
+    @property
+    def is_good(self) -> bool:
+        """Whether it is what the caller asked for."""
+        return self.status == OK
+
+
+@dataclass
+class ModelServer:
+    """One backend server; `arrivals` counts the requests that it got."""
+
+    name: ServerName
+    address: Address
+    data_hall: DataHall
+    service: ModelService
+    rng: random.Random
+    running: int = 0
+    slowed: float = 1.0
+    is_dark: bool = False
+    arrivals: int = 0
+    _waiting: deque[anyio.Event] = field(default_factory=deque)
+    _burst_from_ms: float = 0.0
+    _burst_until_ms: float = 0.0
+
+    def __post_init__(self):
+        bursts = self.service.bursts
+        if bursts is not None:
+            # Some are in the middle of a burst when the experiment begins.
+            from_ms = self.rng.random() * bursts.every_ms - bursts.length_ms
+            self._burst_from_ms = monotonic_ms() + from_ms
+            self._burst_until_ms = self._burst_from_ms + self._part(bursts.length_ms)
+
+    async def answer(self, deadline_ms: int) -> ServerAnswer:
+        """Run one request; a caller that leaves cancels it."""
+        self.arrivals += 1
+        failure = self._failure_now()
+        if failure is BurstFailure.ERROR:
+            await anyio.sleep(FAILS_AFTER_MS / 1000)
+            return self._answer(FAILED)
+        if not await self._take_slot(deadline_ms):
+            return self._answer(REFUSED, (OUTCOME_HEADER, NOT_RUN))
+        try:
+            work_ms = math.inf if failure else self._work_ms()
+            left_ms = max(deadline_ms - monotonic_ms(), 0)
+            await anyio.sleep(min(work_ms, left_ms) / 1000)
+        finally:
+            self._free_slot()
+        if work_ms > left_ms:
+            return self._answer(TIMED_OUT)
+        is_error = self.rng.random() < self.service.error_share
+        return self._answer(FAILED if is_error else OK)
+
+    async def _take_slot(self, deadline_ms: int) -> bool:
+        """Take a slot, after a while in the queue; False if there is none in time."""
+        if self.running < self.service.slots:
+            self.running += 1
+            return True
+        if len(self._waiting) >= self.service.queue:
+            return False
+        turn = anyio.Event()
+        self._waiting.append(turn)
+        try:
+            with anyio.move_on_after(max(deadline_ms - monotonic_ms(), 0) / 1000):
+                await turn.wait()
+        except BaseException:
+            self._leave_queue(turn)
+            raise
+        if not turn.is_set():
+            self._leave_queue(turn)
+        return turn.is_set()
+
+    def _leave_queue(self, turn: anyio.Event) -> None:
+        if turn.is_set():
+            self._free_slot()
+        else:
+            self._waiting.remove(turn)
+
+    def _free_slot(self) -> None:
+        """Give a slot back, or on to the first that waits."""
+        if self._waiting:
+            self._waiting.popleft().set()
+        else:
+            self.running -= 1
+
+    def _failure_now(self) -> BurstFailure | None:
+        bursts = self.service.bursts
+        if bursts is None:
+            return None
+        now_ms = monotonic_ms()
+        while now_ms >= self._burst_until_ms:
+            pause_ms = self._part(bursts.every_ms - bursts.length_ms)
+            self._burst_from_ms = self._burst_until_ms + pause_ms
+            self._burst_until_ms = self._burst_from_ms + self._part(bursts.length_ms)
+        is_bad = now_ms >= self._burst_from_ms and self.rng.random() < bursts.fail_share
+        return bursts.failure if is_bad else None
+
+    def _part(self, mean_ms: float) -> float:
+        return mean_ms * (LEAST_PART + self.rng.random())
+
+    def _work_ms(self) -> float:
+        spread = self.service.work_spread
+        middle = math.log(self.service.work_ms) - spread**2 / 2
+        return self.rng.lognormvariate(middle, spread) * self.slowed
+
+    def _answer(self, status: int, *headers: tuple[bytes, bytes]) -> ServerAnswer:
+        busy = f"{self.running},{len(self._waiting)},{self.service.slots}"
+        return ServerAnswer(status, [(LOAD_HEADER, busy.encode()), *headers])
--- /dev/null
+++ b/tests/experiment/test_declaration.py
@@ -0,0 +1,65 @@
+import tempfile
+import unittest
+from pathlib import Path
+
+from cinderway._errors import CinderwayError, ErrorCode
+from cinderway.experiment import read_experiment
+
+ROOT = Path(__file__).resolve().parents[2]
+TEXT = """
+name = "small"
+halls = ["suva"]
+entries_a_hall = 2
+length_ms = 1000
+services = [{ name = "lookup", servers_a_hall = 2, slots = 3, work_ms = 300 }]
+[[routes]]
+name = "account"
+service = "lookup"
+kind = "repeatable"
+per_s = 5
+objective_ms = 1000
+timeout_ms = 2000
+deadline_ms = 4000
+"""
+
+
+class DeclarationTests(unittest.TestCase):
+    def read(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "experiment.toml"
+            path.write_text(text)
+            return read_experiment(path)
+
+    def refusal(self, old, new):
+        self.assertIn(old, TEXT)
+        with self.assertRaises(CinderwayError) as raised:
+            self.read(TEXT.replace(old, new))
+        self.assertIs(raised.exception.code, ErrorCode.SETTING_INVALID)
+        return raised.exception.detail
+
+    def test_a_file_is_read_with_the_values_that_it_leaves_out(self):
+        found = self.read(TEXT)
+        self.assertEqual(found.routes[0].late_worth, 0.5)
+        self.assertEqual(found.faults, [])
+
+    def test_a_field_that_nobody_knows_is_named(self):
+        self.assertIn("halls_", self.refusal("halls", "halls_"))
+
+    def test_a_service_that_is_not_there_is_named_with_those_that_are(self):
+        detail = self.refusal('service = "lookup"', 'service = "maps"')
+        self.assertIn("'maps'; allowed: lookup", detail)
+
+    def test_a_count_of_none_is_refused(self):
+        detail = self.refusal("entries_a_hall = 2", "entries_a_hall = 0")
+        self.assertEqual(detail, "entries_a_hall: given 0; allowed: 1 and above")
+
+    def test_a_share_above_one_is_refused(self):
+        detail = self.refusal("slots = 3", "slots = 3, error_share = 1.5")
+        self.assertEqual(detail, "error_share: given 1.5; allowed: 0 to 1")
+
+    def test_the_experiments_of_the_repository_are_valid(self):
+        paths = sorted((ROOT / "experiments").glob("*.toml"))
+        self.assertTrue(paths)
+        for path in paths:
+            with self.subTest(path.name):
+                read_experiment(path)
--- /dev/null
+++ b/tests/experiment/test_play.py
@@ -0,0 +1,59 @@
+import csv
+import tempfile
+import unittest
+from pathlib import Path
+
+from cinderway.catalog import RouteKind
+from cinderway.experiment import Outcome, by_route, draw, play, table_of, write_csv
+from cinderway.experiment._declaration import Fault, FaultKind
+
+from ._declared import USERS_BURSTS, experiment, route, service
+
+
+class PlayTests(unittest.TestCase):
+    def test_one_seed_gives_one_result(self):
+        declared = experiment(services=[service(bursts=USERS_BURSTS)])
+        first, again, other = (play(declared, seed) for seed in (1, 1, 2))
+        self.assertEqual(first.results, again.results)
+        self.assertNotEqual(first.results, other.results)
+
+    def test_healthy_servers_with_room_answer_everything_in_time(self):
+        result = by_route([play(experiment(), 1)])[0]
+        self.assertGreater(result.asked, 50)
+        self.assertEqual(result.share(Outcome.IN_TIME), 1)
+
+    def test_a_request_that_may_run_again_survives_a_server_that_fails(self):
+        once, again = route(), route(name="lookup", kind=RouteKind.REPEATABLE)
+        declared = experiment(
+            # Rare enough for the budget of second tries.
+            services=[service(servers_a_hall=8, error_share=0.08)],
+            routes=[once, again],
+            length_ms=20_000,
+        )
+        lost = {
+            r.route.name: r.share(Outcome.FAILED) for r in by_route([play(declared, 1)])
+        }
+        self.assertGreater(lost["reading-submit"], 0.05)
+        self.assertLess(lost["lookup"], lost["reading-submit"] / 3)
+
+    def test_entries_without_power_answer_nothing_and_come_back(self):
+        fault = Fault(kind=FaultKind.POWER_LOSS, at_ms=1_000, for_ms=1_000)
+        played = play(experiment(faults=[fault]), 1)
+        asked_ms = [r.asked_at_ms - played.began_at_ms for r in played.results]
+        served_ms = [
+            asked
+            for asked, result in zip(asked_ms, played.results, strict=True)
+            if result.outcome is Outcome.IN_TIME
+        ]
+        self.assertFalse([asked for asked in served_ms if 1_000 <= asked < 2_000])
+        self.assertTrue([asked for asked in served_ms if asked > 3_000])
+
+    def test_results_are_printed_written_and_drawn(self):
+        played = [play(experiment(length_ms=2_000), 1)]
+        self.assertIn("reading-submit", table_of(played))
+        with tempfile.TemporaryDirectory() as folder:
+            write_csv(played, Path(folder) / "seconds.csv")
+            rows = list(csv.DictReader((Path(folder) / "seconds.csv").open()))
+            draw(played, Path(folder) / "seconds.svg")
+            self.assertIn("<svg", (Path(folder) / "seconds.svg").read_text())
+        self.assertEqual([row["second"] for row in rows], ["0", "1"])
