routing: take the emptiest of a few drawn servers, not of all

Cause: with 59 entries a hall loads are known some 50 ms late. A server that fails at once answers after 1 ms and looks empty, and every entry of the hall took the emptiest of all: it drew the hall's requests until its failure was known everywhere. Change: choose() draws four servers of the own hall and four of the others.

--- a/src/cinderway/routing/_choose.py
+++ b/src/cinderway/routing/_choose.py
@@ -15,6 +15,13 @@
 SUSPECT_PENALTY = 1.5
 # Small beside one request's share of the 3 or 4 slots that are common.
 TIE_BREAK = 0.01
+# Servers of the own hall, and as many of the others, among which the emptiest is taken.
+# Loads are known late by some tens of milliseconds: if all entries took the emptiest
+# of all, a server that fails at once would seem empty and draw a whole hall's requests
+# until the word has spread. With 59 entries a hall 8.4% of the requests that run once
+# failed in place of 10.6%, and 95 of 100 answers came within 1,005 ms in place of
+# 1,134 (experiment "a hall of many entries", four seeds).
+SAMPLE_SIZE = 4
 # Keeps a server without weight last instead of dividing by zero.
 LEAST_WEIGHT = 0.001
 
@@ -61,15 +68,14 @@
     exclude: Collection[ServerName] = (),
     penalties: Penalties = USUAL_PENALTIES,
 ) -> Candidate | None:
-    """Return the candidate with the least load for its weight, or None.
+    """Return the least loaded for its weight of a few candidates, or None.
 
-    Ties, which are common with 3 or 4 slots, are broken at random so that entries
-    that see the same loads do not all choose the same server.
+    A few of the own hall's and a few of the others' are drawn. Ties, which are common
+    with 3 or 4 slots, are broken at random so that entries that see the same loads do
+    not all choose the same server.
     """
     best, best_score = None, 0.0
-    for candidate in candidates:
-        if candidate.name in exclude:
-            continue
+    for candidate in _drawn(candidates, own_hall, rng, exclude):
         penalty = penalties.suspect * candidate.suspicion
         if candidate.data_hall != own_hall:
             penalty += penalties.other_hall
@@ -79,6 +85,25 @@
     return best
 
 
+def _drawn(
+    candidates: Iterable[Candidate],
+    own_hall: DataHall,
+    rng: random.Random,
+    exclude: Collection[ServerName],
+) -> list[Candidate]:
+    """Return some candidates of the own hall and some of others, none excluded."""
+    allowed = [c for c in candidates if c.name not in exclude]
+    own = [c for c in allowed if c.data_hall == own_hall]
+    others = [c for c in allowed if c.data_hall != own_hall]
+    return _few(own, rng) + _few(others, rng)
+
+
+def _few(candidates: list[Candidate], rng: random.Random) -> list[Candidate]:
+    if len(candidates) <= SAMPLE_SIZE:
+        return candidates
+    return rng.sample(candidates, SAMPLE_SIZE)
+
+
 def _score(candidate: Candidate, penalty: float) -> float:
     own_load = (candidate.in_flight + 1) / candidate.slots
     load = max(own_load, candidate.known_load + 1 / candidate.slots)
--- /dev/null
+++ b/tests/experiment/test_loads.py
@@ -0,0 +1,40 @@
+"""Loads at their worst, replayed: what callers get with a mechanism and without it.
+
+Each test plays the same seeds twice; without its mechanism the second play is no worse,
+and the test fails.
+"""
+
+import unittest
+from unittest.mock import patch
+
+from cinderway._ids import DataHall
+from cinderway.experiment import Outcome, by_route, play
+from cinderway.routing import _choose
+
+from ._declared import USERS_BURSTS, experiment, route, service
+
+SEEDS = (1, 2, 3, 4)
+NO_SAMPLE = 1_000
+
+
+def failed_share(declared):
+    plays = [play(declared, seed) for seed in SEEDS]
+    return by_route(plays)[0].share(Outcome.FAILED)
+
+
+class ManyEntriesTests(unittest.TestCase):
+    """Sixty entries see two requests a second each, and loads some 50 ms late."""
+
+    declared = experiment(
+        halls=[DataHall("suva")],
+        entries_a_hall=60,
+        length_ms=12_000,
+        services=[service(servers_a_hall=18, work_ms=320, bursts=USERS_BURSTS)],
+        routes=[route(per_s=80)],
+    )
+
+    def test_a_server_that_fails_at_once_does_not_draw_the_whole_hall(self):
+        with_sample = failed_share(self.declared)
+        with patch.object(_choose, "SAMPLE_SIZE", NO_SAMPLE):
+            without = failed_share(self.declared)
+        self.assertLess(with_sample, 0.9 * without)
