routing: keep requests that run once further from servers that have just failed

Cause: at a penalty of 2.0 a suspect server was taken again once the others had two or three requests more, while its burst of failures still went on.

--- a/tests/experiment/test_loads.py
+++ b/tests/experiment/test_loads.py
@@ -5,9 +5,11 @@
 """
 
 import unittest
+from dataclasses import replace
 from unittest.mock import patch
 
 from cinderway._ids import DataHall
+from cinderway.entry.callers import _policies
 from cinderway.experiment import Outcome, by_route, play
 from cinderway.routing import _choose
 
@@ -38,3 +40,10 @@
         with patch.object(_choose, "SAMPLE_SIZE", NO_SAMPLE):
             without = failed_share(self.declared)
         self.assertLess(with_sample, 0.9 * without)
+
+    def test_what_runs_once_is_kept_from_servers_that_have_just_failed(self):
+        with_penalty = failed_share(self.declared)
+        light = replace(_policies.ONCE_PENALTIES, suspect=2.0)
+        with patch.object(_policies, "ONCE_PENALTIES", light):
+            without = failed_share(self.declared)
+        self.assertLess(with_penalty, 0.9 * without)
