control: tell of a server's failure before loads have gathered

Change: a failure of the own hall cuts the pause short, to a third of a millisecond for each entry that follows: at most 3,000 tellings a second in all, however many entries.

--- a/src/cinderway/control/_hall_news.py
+++ b/src/cinderway/control/_hall_news.py
@@ -37,6 +37,10 @@
 # Times that entries are told news in a second, all of them together. One costs a
 # replica about 0.1 ms of processor time: 0.12 of a core however many entries follow.
 TELLINGS_PER_S = 1_200
+# The same where a server has just failed a request of the own hall: until the others
+# know, they send it more. Told as late as loads, 7.0% of the requests that run once
+# failed in place of 6.5% (experiment "a hall of many entries", 4 seeds).
+URGENT_TELLINGS_PER_S = 3_000
 # Between two looks whether the hall's entries have changed: many come at one moment.
 HALL_ENTRIES_PAUSE_S = 1.0
 
@@ -53,6 +57,7 @@
     _seen: "_News" = field(default_factory=lambda: _News())
     _heard: "_News" = field(default_factory=lambda: _News())
     _has_news: anyio.Event = field(default_factory=anyio.Event)
+    _has_failures: anyio.Event = field(default_factory=anyio.Event)
     _tasks: anyio.abc.TaskGroup | None = None
 
     async def run(self) -> None:
@@ -71,6 +76,7 @@
         """Take what the entries that follow here made suspect or cleared."""
         self._seen.add_suspects(suspects, monotonic_ms())
         self._has_news.set()
+        self._has_failures.set()
 
     def hear_loads(self, loads: Iterable[ServerLoad]) -> None:
         """Take what another replica of the hall told; it goes to entries only."""
@@ -86,8 +92,17 @@
         while True:
             await self._has_news.wait()
             self._has_news = anyio.Event()
+            self._has_failures = anyio.Event()
             self._tell_all(monotonic_ms())
-            await anyio.sleep(news_pause_s(len(self.followers)))
+            await self._pause()
+
+    async def _pause(self) -> None:
+        """Let news gather; a server's failure cuts that short."""
+        followers = len(self.followers)
+        least_s = followers / URGENT_TELLINGS_PER_S
+        await anyio.sleep(least_s)
+        with anyio.move_on_after(news_pause_s(followers) - least_s):
+            await self._has_failures.wait()
 
     def _tell_all(self, now_ms: int) -> None:
         """Tell entries and replicas what has come since the last time."""
@@ -178,7 +193,7 @@
 
 
 def news_pause_s(followers: int) -> float:
-    """Return the time between two tellings to this many entries."""
+    """Return the usual time between two tellings to this many entries."""
     return max(NEWS_PAUSE_S, followers / TELLINGS_PER_S)
 
 
--- a/tests/control/test_hall_news.py
+++ b/tests/control/test_hall_news.py
@@ -146,6 +146,25 @@
             per_s = followers / news_pause_s(followers)
             self.assertAlmostEqual(per_s, TELLINGS_PER_S)
 
+    def test_a_failure_is_told_before_loads_have_gathered(self):
+        async def run():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.news.run)
+                self.news.take_loads(LOADS)
+                await anyio.wait_all_tasks_blocked()
+                self.news.take_loads(LOADS)
+                await anyio.sleep(0)
+                self.news.take_suspects(suspects(900))
+                with anyio.fail_after(20):
+                    while self.home.tellings < 2:
+                        await anyio.sleep(0.001)
+                tasks.cancel_scope.cancel()
+
+        with patch.object(_hall_news, "NEWS_PAUSE_S", 1_000_000):
+            anyio.run(run)
+        self.assertEqual(self.home.loads, LOADS + LOADS)
+        self.assertEqual(len(self.home.suspects), 1)
+
     def test_an_entry_that_was_restarted_hears_of_its_hall_again(self):
         first, again = (Follower("suva", "10.1.0.9:7101") for _ in range(2))
         self.news.followers = {first, self.far}
