--- a/src/cinderway/catalog/__init__.py
+++ b/src/cinderway/catalog/__init__.py
@@ -16,6 +16,7 @@
 )
 from cinderway.catalog._conversation import (
     CATALOG,
+    NO_LOAD,
     CatalogHeartbeat,
     CatalogUpdate,
     EvidenceBatch,
@@ -55,6 +56,7 @@
 
 __all__ = [
     "CATALOG",
+    "NO_LOAD",
     "AnnounceReplica",
     "CallerLimits",
     "CatalogHeartbeat",
--- a/src/cinderway/catalog/_conversation.py
+++ b/src/cinderway/catalog/_conversation.py
@@ -138,11 +138,22 @@
     for_ms: list[int]
 
 
+# Stands for a load that the teller does not know.
+NO_LOAD = -1.0
+
+
 class ServerLoad(Message, frozen=True):
-    """How full a server is, as a share of its slots, requests that wait included."""
+    """How full a server is, as a share of its slots, requests that wait included.
+
+    `load` is NO_LOAD where the teller has heard nothing new from the server.
+    `in_flight` is how many requests are under way there as far as the teller knows: an
+    entry tells its own, a replica tells replicas those of the entries that follow it,
+    and entries those of the whole fleet.
+    """
 
     server: ServerName
     load: float
+    in_flight: int = 0
 
 
 class ServerLoads(Message, frozen=True):
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -91,7 +91,10 @@
                         case EvidenceBatch() as batch:
                             self.hall.take_evidence(batch)
                         case ServerLoads(servers=loads) if not envelope.call_id:
-                            self.hall.news.take_loads(loads)
+                            self.hall.news.take_loads(connection, loads)
+                        case ServerLoads(servers=loads):
+                            self.hall.news.hear_loads(connection, loads)
+                            await connection.send(Done(), envelope.call_id)
                         case message:
                             tasks.start_soon(
                                 self._answer, connection, envelope.call_id, message
@@ -99,6 +102,8 @@
             except CinderwayError as error:
                 logger.debug("a conversation with %s ended: %s", name, error)
                 tasks.cancel_scope.cancel()
+            finally:
+                self.hall.news.forget(connection)
 
     async def _answer(
         self, connection: Connection, call_id: int, message: Message
@@ -120,9 +125,6 @@
                 case SuspectServers() as suspects:
                     self.hall.news.hear_suspects(suspects)
                     return Done()
-                case ServerLoads(servers=loads):
-                    self.hall.news.hear_loads(loads)
-                    return Done()
                 case TakeRetry() as asked:
                     return RetryAnswer(self.hall.take_retry(asked))
         except CinderwayError as error:
--- a/src/cinderway/control/_hall_news.py
+++ b/src/cinderway/control/_hall_news.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Hashable, Iterable
 from dataclasses import dataclass, field
 
 import anyio
@@ -16,6 +16,7 @@
 from cinderway._ids import Address, ServerName
 from cinderway.catalog import (
     CATALOG,
+    NO_LOAD,
     AnnounceReplica,
     CatalogMachine,
     HallEntries,
@@ -25,6 +26,7 @@
 )
 from cinderway.control._commands import ReplicaCalls
 from cinderway.control._follower import Follower
+from cinderway.control._in_flight import InFlight
 from cinderway.judgement import FADES_MS
 from cinderway.wire import Message
 
@@ -41,6 +43,11 @@
 # know, they send it more. Told as late as loads, 7.0% of the requests that run once
 # failed in place of 6.5% (experiment "a hall of many entries", 4 seeds).
 URGENT_TELLINGS_PER_S = 3_000
+# Requests cross halls where the own one has no server left to choose; what other halls
+# have under way at theirs is told at this pause. Without it 7.1% of the reads failed
+# in place of 4.2% (experiment "hanging servers under load", 3 seeds); at 0.1 s 3.6%,
+# for two and a half times the messages between halls.
+AFAR_PAUSE_S = 0.25
 # Between two looks whether the hall's entries have changed: many come at one moment.
 HALL_ENTRIES_PAUSE_S = 1.0
 
@@ -56,6 +63,11 @@
     # Of the own hall's entries, and what other replicas told.
     _seen: "_News" = field(default_factory=lambda: _News())
     _heard: "_News" = field(default_factory=lambda: _News())
+    # What is under way at servers, by the entries that follow here and by what other
+    # replicas tell of theirs.
+    _entries_in_flight: InFlight = field(default_factory=InFlight)
+    _replicas_in_flight: InFlight = field(default_factory=InFlight)
+    _untold_afar: set[ServerName] = field(default_factory=set)
     _has_news: anyio.Event = field(default_factory=anyio.Event)
     _has_failures: anyio.Event = field(default_factory=anyio.Event)
     _tasks: anyio.abc.TaskGroup | None = None
@@ -65,11 +77,37 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._share_news)
+            tasks.start_soon(self._share_afar)
             tasks.start_soon(self._share_hall_entries)
 
-    def take_loads(self, loads: Iterable[ServerLoad]) -> None:
+    def take_loads(self, entry: Hashable, loads: Iterable[ServerLoad]) -> None:
         """Take what an entry told of servers' loads."""
-        self._seen.add_loads(loads)
+        self._take_loads(entry, loads, self._seen, self._entries_in_flight)
+        self._untold_afar.update(load.server for load in loads)
+
+    def hear_loads(self, replica: Hashable, loads: Iterable[ServerLoad]) -> None:
+        """Take what another replica told; it goes to entries only."""
+        self._take_loads(replica, loads, self._heard, self._replicas_in_flight)
+
+    def _take_loads(
+        self,
+        teller: Hashable,
+        loads: Iterable[ServerLoad],
+        news: "_News",
+        in_flight: InFlight,
+    ) -> None:
+        news.add_loads(loads)
+        for load in loads:
+            in_flight.note(teller, load.server, load.in_flight)
+        self._has_news.set()
+
+    def forget(self, teller: Hashable) -> None:
+        """Drop the requests in flight of an entry or replica that is gone."""
+        gone = self._entries_in_flight.forget(teller)
+        self._seen.add_loads(ServerLoad(server, NO_LOAD) for server in gone)
+        self._untold_afar.update(gone)
+        gone = self._replicas_in_flight.forget(teller)
+        self._heard.add_loads(ServerLoad(server, NO_LOAD) for server in gone)
         self._has_news.set()
 
     def take_suspects(self, suspects: SuspectServers) -> None:
@@ -78,11 +116,6 @@
         self._has_news.set()
         self._has_failures.set()
 
-    def hear_loads(self, loads: Iterable[ServerLoad]) -> None:
-        """Take what another replica of the hall told; it goes to entries only."""
-        self._heard.add_loads(loads)
-        self._has_news.set()
-
     def hear_suspects(self, suspects: SuspectServers) -> None:
         """Take what another replica told; it goes to entries only."""
         self._heard.add_suspects(suspects, monotonic_ms())
@@ -113,16 +146,33 @@
             told = _for_other_halls(seen.suspects(now_ms))
             self._tell_replicas(self._other_replicas(), told)
         if seen.loads:
-            self._tell_replicas(self._hall_replicas(), seen.server_loads())
+            told = seen.server_loads(self._entries_in_flight.total)
+            self._tell_replicas(self._hall_replicas(), told)
 
     def _tell_followers(self, news: "_News", now_ms: int) -> None:
         """Tell all entries of suspects, and those of the own hall of loads."""
         suspects = [CATALOG.encode(news.suspects(now_ms))] * bool(news.suspect_until_ms)
-        loads = [CATALOG.encode(news.server_loads())] * bool(news.loads)
+        told = news.server_loads(self._fleet_in_flight)
+        loads = [CATALOG.encode(told)] * bool(news.loads)
         for follower in self.followers:
             is_home = follower.data_hall == self.own.data_hall
             follower.tell_news(suspects + loads if is_home else suspects)
 
+    async def _share_afar(self) -> None:
+        """Tell other halls' replicas what the entries here have under way."""
+        while True:
+            await anyio.sleep(AFAR_PAUSE_S)
+            untold, self._untold_afar = self._untold_afar, set()
+            if untold:
+                total = self._entries_in_flight.total
+                loads = [ServerLoad(name, NO_LOAD, total(name)) for name in untold]
+                self._tell_replicas(self._far_replicas(), ServerLoads(loads))
+
+    def _fleet_in_flight(self, server: ServerName) -> int:
+        """Return what all entries have under way at a server, as far as known."""
+        entries, replicas = self._entries_in_flight, self._replicas_in_flight
+        return entries.total(server) + replicas.total(server)
+
     async def _share_hall_entries(self) -> None:
         """Tell the own hall's entries of each other, for when control is away."""
         told_to: set[Follower] = set()
@@ -152,6 +202,10 @@
             if self.machine.replicas[address].data_hall == self.own.data_hall
         ]
 
+    def _far_replicas(self) -> list[Address]:
+        """Return the replicas of other halls."""
+        return [a for a in self._other_replicas() if a not in self._hall_replicas()]
+
     def _tell_replicas(self, addresses: list[Address], news: Message) -> None:
         for address in addresses:
             self._tasks.start_soon(self._tell_replica, address, news)
@@ -172,7 +226,9 @@
     suspect_until_ms: dict[ServerName, int] = field(default_factory=dict)
 
     def add_loads(self, loads: Iterable[ServerLoad]) -> None:
-        self.loads.update((load.server, load) for load in loads)
+        for load in loads:
+            if load.load != NO_LOAD or load.server not in self.loads:
+                self.loads[load.server] = load
 
     def add_suspects(self, suspects: SuspectServers, now_ms: int) -> None:
         for server, left_ms in zip(suspects.servers, suspects.for_ms, strict=True):
@@ -180,13 +236,18 @@
 
     def followed_by(self, later: "_News") -> "_News":
         """Return both, the later one's word first where both know a server."""
-        return _News(
-            self.loads | later.loads, self.suspect_until_ms | later.suspect_until_ms
+        both = _News(dict(self.loads), self.suspect_until_ms | later.suspect_until_ms)
+        both.add_loads(later.loads.values())
+        return both
+
+    def server_loads(self, in_flight: Callable[[ServerName], int]) -> ServerLoads:
+        return ServerLoads(
+            [
+                ServerLoad(load.server, load.load, in_flight(load.server))
+                for load in self.loads.values()
+            ]
         )
 
-    def server_loads(self) -> ServerLoads:
-        return ServerLoads(list(self.loads.values()))
-
     def suspects(self, now_ms: int) -> SuspectServers:
         left_ms = [max(at_ms - now_ms, 0) for at_ms in self.suspect_until_ms.values()]
         return SuspectServers(list(self.suspect_until_ms), left_ms)
--- a/src/cinderway/entry/_blackboard.py
+++ b/src/cinderway/entry/_blackboard.py
@@ -25,6 +25,8 @@
 
     row: ServerRow
     in_flight: int = 0
+    # What all entries of the fleet have under way there, as far as known.
+    fleet_in_flight: int = 0
     # The last load known, by its own word or another entry's, and what was sent since.
     known_load: float = 0.0
     load_known_at_ms: int = 0
@@ -43,9 +45,31 @@
     is_held_by_floor: bool = False
 
     def load_at(self, now_ms: int) -> float:
-        """How full it probably is, as a share of its slots; 0 if that is unknown."""
+        """How full it probably is, as a share of its slots; 0 if that is unknown.
+
+        A server that hangs tells nothing, and its last load fades; what entries still
+        have under way there does not. By told loads alone 84.3% of the requests that
+        run once were answered in time in place of 89.0%, and 83.1% of the reads in
+        place of 85.9% (experiment "hanging servers under load", 3 and 4 seeds).
+        """
+        in_flight = self.fleet_in_flight / self.row.slots
+        return max(self.told_load_at(now_ms), in_flight)
+
+    def told_load_at(self, now_ms: int) -> float:
+        """What is left of the last load told, as a share of its slots."""
         return faded_load(self.known_load, now_ms - self.load_known_at_ms)
 
+    def begin_request(self) -> None:
+        """Count a request that goes out."""
+        self.in_flight += 1
+        self.fleet_in_flight += 1
+
+    def end_request(self) -> None:
+        """Count a request that is over, however it ended."""
+        self.in_flight -= 1
+        # The replica's last word may have been without it.
+        self.fleet_in_flight = max(self.fleet_in_flight - 1, self.in_flight)
+
     def note_load(self, load: float, now_ms: int) -> None:
         """Take over a load that was told by the server or by another entry."""
         self.known_load = load
@@ -102,8 +126,9 @@
     in_flight: int = 0
     # Entries of the fleet that are live, this one included.
     entry_count: int = 1
-    # Told of each server's load as this entry knows it, where entries share that.
-    on_load: Callable[[ServerName, float], None] | None = None
+    # Told of each server whose load or requests in flight have changed, where entries
+    # share that.
+    on_load: Callable[[ServerName], None] | None = None
     # Told of each server that answered this entry well.
     on_good_answer: Callable[[ServerName], None] | None = None
     table_changed: anyio.Event = field(default_factory=anyio.Event)
--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -11,6 +11,7 @@
 from cinderway._clock import monotonic_ms
 from cinderway._ids import Address, DataHall, ServerName, ServiceName
 from cinderway.catalog import (
+    NO_LOAD,
     CatalogMirror,
     CatalogUpdate,
     RegisteredServer,
@@ -51,7 +52,8 @@
     # Where the hall's entries hear each other while control is away.
     peers: list[Address] = field(default_factory=list)
     _new_suspects: dict[ServerName, int] = field(default_factory=dict)
-    _loads: dict[ServerName, ServerLoad] = field(default_factory=dict)
+    # Servers of which the hall is to be told, in the order in which they changed.
+    _changed_loads: dict[ServerName, None] = field(default_factory=dict)
     _routed: anyio.Event = field(default_factory=anyio.Event)
     _suspicions: Suspicions = field(default_factory=Suspicions)
 
@@ -113,17 +115,26 @@
             return None
         return self.board.services[registered.service].servers[server]
 
-    def _note_load(self, server: ServerName, load: float) -> None:
-        self._loads[server] = ServerLoad(server, load)
+    def _note_load(self, server: ServerName) -> None:
+        self._changed_loads[server] = None
         self.loads_changed.set()
 
-    def take_loads(self) -> ServerLoads:
-        """Return the loads that this entry came to know since the last call."""
-        loads, self._loads = self._loads, {}
+    def take_loads(self, now_ms: int) -> ServerLoads:
+        """Return what this entry knows now of the servers that changed since then."""
+        changed, self._changed_loads = self._changed_loads, {}
         # One that is not set yet may be waited for by another task: it must stay.
         if self.loads_changed.is_set():
             self.loads_changed = anyio.Event()
-        return ServerLoads(list(loads.values()))
+        states = filter(None, map(self._state_of, changed))
+        return ServerLoads([_load_of(state, now_ms) for state in states])
+
+    def follow_anew(self) -> None:
+        """Forget what others have in flight; tell the next replica of all here."""
+        for service in self.board.services.values():
+            for name, server in service.servers.items():
+                server.fleet_in_flight = server.in_flight
+                if server.in_flight:
+                    self._note_load(name)
 
     def take_suspects(self, now_ms: int) -> SuspectServers:
         """Return the servers that failed here since the last call, and still count."""
@@ -148,9 +159,17 @@
         """Take over what other entries of the hall know."""
         for told in message.servers:
             server = self._state_of(told.server)
-            if server is not None:
+            if server is not None and told.load != NO_LOAD:
                 server.note_load(told.load, now_ms)
 
+    def hear_fleet_loads(self, message: ServerLoads, now_ms: int) -> None:
+        """Take over what the replica knows: also what the fleet has in flight."""
+        self.hear_loads(message, now_ms)
+        for told in message.servers:
+            server = self._state_of(told.server)
+            if server is not None:
+                server.fleet_in_flight = max(told.in_flight, server.in_flight)
+
     def install(self, update: CatalogUpdate, now_ms: int) -> bool:
         """Put an update in force; False if it is not newer than what is."""
         if not self.mirror.install(update):
@@ -221,6 +240,11 @@
                     server.warm_until_ms = now_ms + warmup_ms
 
 
+def _load_of(server: ServerState, now_ms: int) -> ServerLoad:
+    load = server.told_load_at(now_ms) if server.tells_load else NO_LOAD
+    return ServerLoad(server.row.name, load, server.in_flight)
+
+
 def _objectives_of(sheet: RouteSheet) -> dict[ServiceName, int]:
     """Return each service's objective: the longest of the routes that lead there."""
     objectives_ms: dict[ServiceName, int] = {}
--- a/src/cinderway/entry/fleet/_catalog_follower.py
+++ b/src/cinderway/entry/fleet/_catalog_follower.py
@@ -193,6 +193,7 @@
             self._choice.hall_of(address) or "an unknown hall",
             known_revision,
         )
+        self.state.follow_anew()
         failure: Exception | None = None
         # What was earned alone must not be spent on top of the shared budget later.
         for service in self.state.board.services.values():
@@ -207,6 +208,7 @@
             except (CinderwayError, TimeoutError) as error:
                 failure = error
             self._connection = None
+            self.state.follow_anew()
             tasks.cancel_scope.cancel()
         if failure is not None:
             raise failure
@@ -226,8 +228,10 @@
         match message:
             case CatalogUpdate():
                 self._install(message, now_ms)
-            case SuspectServers() | ServerLoads():
+            case SuspectServers():
                 self.state.hear(message, now_ms)
+            case ServerLoads():
+                self.state.hear_fleet_loads(message, now_ms)
             case HallEntries(addresses=addresses):
                 self.state.peers = addresses
             case RetryAnswer(is_granted=is_granted):
--- a/src/cinderway/entry/fleet/_catalog_reports.py
+++ b/src/cinderway/entry/fleet/_catalog_reports.py
@@ -70,7 +70,7 @@
             await self._state.loads_changed.wait()
             try:
                 with anyio.fail_after(REPORT_PAUSE_S):
-                    await connection.send(self._state.take_loads())
+                    await connection.send(self._state.take_loads(monotonic_ms()))
             except (CinderwayError, TimeoutError) as error:
                 logger.info("loads of servers were not told: %s", str(error) or "slow")
                 await connection.aclose()
--- a/src/cinderway/entry/fleet/_hall_peers.py
+++ b/src/cinderway/entry/fleet/_hall_peers.py
@@ -78,7 +78,7 @@
         suspects = self.state.take_suspects(monotonic_ms())
         if suspects.servers:
             yield suspects
-        loads = self.state.take_loads().servers
+        loads = self.state.take_loads(monotonic_ms()).servers
         for start in range(0, len(loads), SERVERS_A_DATAGRAM):
             yield ServerLoads(loads[start : start + SERVERS_A_DATAGRAM])
 
--- a/src/cinderway/entry/servers/_dispatch.py
+++ b/src/cinderway/entry/servers/_dispatch.py
@@ -109,7 +109,8 @@
                     await answer.aclose()
         finally:
             self.evidence.end(attempt)
-            server.in_flight -= 1
+            server.end_request()
+            self._tell_load(server)
             service.free_slot()
 
     async def probe(
@@ -227,18 +228,20 @@
             self.board.on_good_answer(server.row.name)
         reported = parse_load(answer.header(answer.names.load))
         if reported is not None:
-            self._note_load(server, reported, now_ms)
+            server.note_load(reported, now_ms)
+            self._tell_load(server)
 
     def _note_send(self, server: ServerState, now_ms: int) -> None:
         """Count a request at once, before the server's next answer tells of it."""
         if server.tells_load:
-            load = server.load_at(now_ms) + 1 / server.row.slots
-            self._note_load(server, load, now_ms)
+            load = server.told_load_at(now_ms) + 1 / server.row.slots
+            server.note_load(load, now_ms)
+        server.begin_request()
+        self._tell_load(server)
 
-    def _note_load(self, server: ServerState, load: float, now_ms: int) -> None:
-        server.note_load(load, now_ms)
+    def _tell_load(self, server: ServerState) -> None:
         if self.board.on_load is not None:
-            self.board.on_load(server.row.name, load)
+            self.board.on_load(server.row.name)
 
     def _shed_pause_ms(self, service: ServiceState) -> int:
         share = SHED_PAUSE_SHARE + self.board.rng.random()
@@ -259,7 +262,6 @@
                 now_ms = monotonic_ms()
                 server = self._free_server(service, exclude, now_ms, penalties)
                 if server is not None:
-                    server.in_flight += 1
                     self._note_send(server, now_ms)
                     return server
                 give_up_at_ms = deadline_ms - admission.service_time_ms
--- a/src/cinderway/experiment/_fleet.py
+++ b/src/cinderway/experiment/_fleet.py
@@ -134,15 +134,15 @@
                 call_later(self.experiment.other_hall_ms, hear, message)
             case ServerLoads(servers=loads):
                 hear = other.news.hear_loads
-                call_later(self.experiment.other_hall_ms, hear, loads)
+                call_later(self.experiment.other_hall_ms, hear, self.name, loads)
 
-    def take(self, message: Message) -> None:
+    def take(self, entry: EntryName, message: Message) -> None:
         """Take what an entry of the hall sent."""
         match message:
             case EvidenceBatch() as batch:
                 self.service.take_evidence(batch)
             case ServerLoads(servers=loads):
-                self.service.news.take_loads(loads)
+                self.service.news.take_loads(entry, loads)
 
 
 @dataclass(eq=False)
@@ -204,6 +204,7 @@
         """End at once, without a word to anybody."""
         self.connections.is_dark = True
         self.hall.service.followers.discard(self)
+        self.hall.service.news.forget(self.name)
         self._scope.cancel()
         for scope in self._serving:
             scope.cancel()
@@ -212,7 +213,7 @@
 
     async def send(self, message: Message) -> None:
         """Send what the entry reports, as over its connection to the replica."""
-        call_later(self._way_ms, self.hall.take, message)
+        call_later(self._way_ms, self.hall.take, self.name, message)
 
     async def aclose(self) -> None:
         """Close nothing: the model's link does not break."""
@@ -244,5 +245,7 @@
         match _decoded(frame):
             case VerdictBatch() as verdicts:
                 self.state.apply(verdicts)
+            case ServerLoads() as loads:
+                self.state.hear_fleet_loads(loads, monotonic_ms())
             case news:
                 self.state.hear(news, monotonic_ms())
--- a/src/cinderway/wire/schemas/catalog.capnp
+++ b/src/cinderway/wire/schemas/catalog.capnp
@@ -100,6 +100,7 @@
 struct ServerLoad {
   server @0 :Text;
   load @1 :Float32;
+  inFlight @2 :UInt16;
 }
 
 struct ServerLoads {
--- a/tests/experiment/_declared.py
+++ b/tests/experiment/_declared.py
@@ -1,5 +1,7 @@
 """Small experiments for tests."""
 
+from msgspec.structs import replace
+
 from cinderway._ids import DataHall, ServiceName
 from cinderway.catalog import RouteKind
 from cinderway.experiment._declaration import (
@@ -16,6 +18,8 @@
     length_ms=2_700, every_ms=9_000, fail_share=0.75, failure=BurstFailure.ERROR
 )
 
+HANGING_BURSTS = replace(USERS_BURSTS, failure=BurstFailure.HANG)
+
 
 def service(**given):
     fields = {"name": SERVICE, "servers_a_hall": 4, "slots": 3, "work_ms": 300}
