--- a/tests/experiment/test_loads.py
+++ b/tests/experiment/test_loads.py
@@ -12,6 +12,7 @@
 
 from cinderway._ids import DataHall
 from cinderway.catalog import RouteKind
+from cinderway.control import _hall_news
 from cinderway.entry._blackboard import ServerState
 from cinderway.entry.callers import _policies
 from cinderway.experiment import Outcome, by_route, play
@@ -21,10 +22,11 @@
 
 SEEDS = (1, 2, 3, 4)
 NO_SAMPLE = 1_000
+NEVER_S = 1_000_000
 
 
-def result_of(declared):
-    return by_route([play(declared, seed) for seed in SEEDS])[0]
+def result_of(declared, seeds=SEEDS):
+    return by_route([play(declared, seed) for seed in seeds])[0]
 
 
 def missed_share(result):
@@ -81,6 +83,36 @@
         self.assertLess(missed_share(with_in_flight), 0.9 * missed_share(without))
 
 
+class FewServersAHallTests(unittest.TestCase):
+    """Three servers a hall that hang in bursts: requests have to leave their hall."""
+
+    # With nine servers each burst weighs much: more seeds are played.
+    seeds = range(20, 28)
+    declared = experiment(
+        halls=[DataHall("suva"), DataHall("nadi"), DataHall("lautoka")],
+        entries_a_hall=6,
+        length_ms=12_000,
+        services=[
+            service(servers_a_hall=3, slots=2, work_ms=210, bursts=HANGING_BURSTS)
+        ],
+        routes=[
+            route(
+                kind=RouteKind.REPEATABLE,
+                per_s=34,
+                objective_ms=600,
+                timeout_ms=1_000,
+                deadline_ms=2_000,
+            )
+        ],
+    )
+
+    def test_halls_that_tell_each_other_what_is_under_way_choose_better(self):
+        told = missed_share(result_of(self.declared, self.seeds))
+        with patch.object(_hall_news, "AFAR_PAUSE_S", NEVER_S):
+            untold = missed_share(result_of(self.declared, self.seeds))
+        self.assertLess(told, 0.9 * untold)
+
+
 class FewSecondTriesTests(unittest.TestCase):
     """Servers of a busy service fail in bursts, and second tries are rationed."""
 
