--- a/src/cinderway/experiment/_callers.py
+++ b/src/cinderway/experiment/_callers.py
@@ -12,7 +12,8 @@
 from cinderway._ids import DataHall
 from cinderway.entry.servers._messages import ATTEMPT_HEADER, DEADLINE_HEADER
 from cinderway.experiment._declaration import Experiment, ModelRoute
-from cinderway.experiment._fleet import HOST, ModelEntry
+from cinderway.experiment._entries import ModelEntry
+from cinderway.experiment._halls import HOST
 
 OK = 200
 REFUSED = 503
--- a/src/cinderway/experiment/_fleet.py
+++ b/src/cinderway/experiment/_entries.py
@@ -1,4 +1,4 @@
-"""Model halls and entries: the product's own decisions, joined by model links."""
+"""Model entries: the code that serves callers, over links that only take time."""
 
 import random
 from collections.abc import Callable
@@ -6,35 +6,18 @@
 from functools import lru_cache
 
 import anyio
-import msgspec
 from anyio.abc import TaskGroup
 
 from cinderway._clock import monotonic_ms
-from cinderway._ids import Address, DataHall, EntryName
+from cinderway._ids import Address, EntryName
 from cinderway._operators import Metrics
 from cinderway.catalog import (
     CATALOG,
-    AnnounceReplica,
-    CatalogMachine,
-    EvidenceBatch,
     HallEntries,
-    InstallSheet,
-    Register,
-    RegisteredServer,
-    RouteRow,
-    RouteSheet,
     ServerLoads,
-    ServerStatus,
-    ServiceEntry,
-    SuspectServers,
     TakeRetry,
     VerdictBatch,
-    encode_command,
 )
-from cinderway.control._hall_assessor import HallAssessor, JudgementRules
-from cinderway.control._hall_news import HallNews
-from cinderway.control._hall_service import HallService
-from cinderway.control._retry_pools import RetryPools
 from cinderway.entry._blackboard import Blackboard, ServiceState
 from cinderway.entry._catalog_board import CatalogBoard
 from cinderway.entry.callers._attempts import Attempts
@@ -43,108 +26,23 @@
 from cinderway.entry.servers._dispatch import Dispatcher
 from cinderway.entry.servers._messages import OWN_NAMES
 from cinderway.experiment._connections import ModelConnections
-from cinderway.experiment._declaration import Experiment
+from cinderway.experiment._halls import ModelHall
 from cinderway.experiment._servers import ModelServer
 from cinderway.experiment._virtual_time import call_later
 from cinderway.judgement import EvidenceLog
-from cinderway.table import Bias
 from cinderway.wire import Message
 
-HOST = "model"
-FLOOR_PERCENT = 70
 ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
+# As many frames as one moment's news to all halls comes to.
+FRAMES_REMEMBERED = 256
 
 
-@lru_cache(maxsize=256)
+@lru_cache(maxsize=FRAMES_REMEMBERED)
 def _decoded(frame: bytes) -> Message:
     """Return a frame's message; all entries of a hall are told the same frames."""
     return CATALOG.decode(frame, peer="model").message
 
 
-def catalog_of(experiment: Experiment, servers: list[ModelServer]) -> CatalogMachine:
-    """Return a catalog with the experiment's routes, servers and replicas."""
-    machine = CatalogMachine()
-    commands = [InstallSheet.of(msgspec.json.encode(_sheet_of(experiment)))]
-    commands += [Register(_registered(server)) for server in servers]
-    commands += [replica_of(hall) for hall in experiment.halls]
-    for index, command in enumerate(commands, 1):
-        machine.apply(index, encode_command(command))
-    return machine
-
-
-def replica_of(hall: DataHall) -> AnnounceReplica:
-    """Return the control replica of a hall: there is one in each."""
-    return AnnounceReplica(Address(f"{hall}:1"), hall, Address(f"{hall}:2"))
-
-
-def _sheet_of(experiment: Experiment) -> RouteSheet:
-    routes = [
-        RouteRow(
-            name=route.name,
-            host=HOST,
-            path_prefix=f"/{route.name}/",
-            kind=route.kind,
-            timeout_ms=route.timeout_ms,
-            objective_ms=route.objective_ms,
-            priority=route.priority,
-            service=route.service,
-            server_limit=route.server_limit,
-        )
-        for route in experiment.routes
-    ]
-    services = [ServiceEntry(name=service.name) for service in experiment.services]
-    return RouteSheet(version=1, routes=routes, services=services)
-
-
-def _registered(server: ModelServer) -> RegisteredServer:
-    return RegisteredServer(
-        server.name,
-        server.service.name,
-        server.address,
-        server.data_hall,
-        server.service.slots,
-        ServerStatus.ACTIVE,
-    )
-
-
-@dataclass
-class ModelHall:
-    """One hall's control replica."""
-
-    experiment: Experiment
-    name: DataHall
-    machine: CatalogMachine
-    halls: dict[Address, "ModelHall"]
-    service: HallService = field(init=False)
-
-    def __post_init__(self):
-        own = replica_of(self.name)
-        self.halls[own.address] = self
-        rules = JudgementRules(Bias.BALANCED, FLOOR_PERCENT)
-        pools = RetryPools(self.experiment.retry_percent, self.experiment.retry_burst)
-        news = HallNews(own, self.machine, self)
-        self.service = HallService(self.machine, news, HallAssessor(rules), pools)
-
-    async def call(self, address: Address, message: Message, timeout_s: float) -> None:
-        """Tell another hall's replica, as replicas call each other."""
-        other = self.halls[address].service
-        match message:
-            case SuspectServers():
-                hear: Callable = other.news.hear_suspects
-                call_later(self.experiment.other_hall_ms, hear, message)
-            case ServerLoads(servers=loads):
-                hear = other.news.hear_loads
-                call_later(self.experiment.other_hall_ms, hear, self.name, loads)
-
-    def take(self, entry: EntryName, message: Message) -> None:
-        """Take what an entry of the hall sent."""
-        match message:
-            case EvidenceBatch() as batch:
-                self.service.take_evidence(batch)
-            case ServerLoads(servers=loads):
-                self.service.news.take_loads(entry, loads)
-
-
 @dataclass(eq=False)
 class ModelEntry:
     """One entry, from its start to its end. Also its source of retries."""
@@ -161,7 +59,6 @@
     def __post_init__(self):
         experiment = self.hall.experiment
         self.data_hall = self.hall.name
-        self.entry = self.name
         self._way_ms = experiment.own_hall_ms
         board = Blackboard(self.name, self.data_hall, self.rng)
         evidence = EvidenceLog()
--- a/src/cinderway/experiment/_run.py
+++ b/src/cinderway/experiment/_run.py
@@ -16,7 +16,8 @@
     FaultKind,
     ModelRoute,
 )
-from cinderway.experiment._fleet import ModelEntry, ModelHall, catalog_of
+from cinderway.experiment._entries import ModelEntry
+from cinderway.experiment._halls import ModelHall, catalog_of
 from cinderway.experiment._servers import ModelServer
 from cinderway.experiment._virtual_time import run_in_virtual_time
 
