accounts: keys of client accounts decide who may send, and never reach servers

The sheet's accounts were passed over. Change: the route sheet carries accounts, checked; 401 before the body is read, looked at again once it is there; servers are told the account's name, whatever callers call themselves, and see no header that carries the key. No error, log line or repr has a key. An entry without a sheet says 503. Sheets without accounts need no keys, as before. Before: unknown keys were served (new tests fail without the change).

--- a/src/cinderway/_ids.py
+++ b/src/cinderway/_ids.py
@@ -10,6 +10,8 @@
 EditId = NewType("EditId", str)
 AttemptId = NewType("AttemptId", str)
 CallerName = NewType("CallerName", str)
+AccountName = NewType("AccountName", str)
+ApiKey = NewType("ApiKey", str)
 Address = NewType("Address", str)
 
 NO_REPLICA = ReplicaId(0)
--- a/src/cinderway/_settings/_catalog_roles.py
+++ b/src/cinderway/_settings/_catalog_roles.py
@@ -146,5 +146,9 @@
     seal_header: bytes = header_field(
         "Header that every successful answer of a server carries, if any.", ""
     )
+    account_header: bytes = header_field(
+        "Header that tells servers a request's account; a caller's own is dropped.",
+        "cinderway-account",
+    )
     log_format: str = log_format_field()
     log_level: str = log_level_field()
--- a/src/cinderway/catalog/__init__.py
+++ b/src/cinderway/catalog/__init__.py
@@ -4,6 +4,7 @@
 servers announce themselves by heartbeats. Control replicates both; entries follow.
 """
 
+from cinderway.catalog._accounts import AccountIndex, AccountRow
 from cinderway.catalog._commands import (
     AnnounceReplica,
     Command,
@@ -57,6 +58,8 @@
 __all__ = [
     "CATALOG",
     "NO_LOAD",
+    "AccountIndex",
+    "AccountRow",
     "AnnounceReplica",
     "CallerLimits",
     "CatalogHeartbeat",
--- a/src/cinderway/catalog/_sheet.py
+++ b/src/cinderway/catalog/_sheet.py
@@ -1,4 +1,4 @@
-"""The route sheet: one row a route, one a service, and limits on callers.
+"""The route sheet: one row a route, a service, a client account; limits on callers.
 
 A sheet is replaced as a whole. It carries the operator's own version; the highest
 version wins. The bytes that the operator sent are kept, so that what is read back is
@@ -12,6 +12,7 @@
 
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import ServiceName
+from cinderway.catalog._accounts import AccountRow, check_accounts
 
 # What holds where a sheet gives no value.
 DEFAULT_HEADER_LIMIT_BYTES = 16 * 1024
@@ -45,6 +46,7 @@
 
     Exactly one of `service` and `split` names where requests go. `objective_ms` is the
     time within which an answer counts as a good one. Priority 0 is the highest.
+    A public route takes requests without a key where the sheet has accounts.
     """
 
     name: str
@@ -57,6 +59,7 @@
     service: ServiceName | None = None
     split: list[SplitPart] | None = None
     server_limit: int | None = None
+    is_public: bool = False
 
     @property
     def parts(self) -> list[SplitPart]:
@@ -89,12 +92,16 @@
 
 
 class RouteSheet(_Row, frozen=True, kw_only=True):
-    """A whole route sheet under its operator's version."""
+    """A whole route sheet under its operator's version.
+
+    Where `accounts` is given, also as an empty list, requests need an account's key.
+    """
 
     version: int
     routes: list[RouteRow]
     services: list[ServiceEntry]
     limits: CallerLimits = CallerLimits()
+    accounts: list[AccountRow] | None = None
 
 
 _decoder = msgspec.json.Decoder(RouteSheet, strict=True)
@@ -114,6 +121,7 @@
     for route in sheet.routes:
         _check_route(route, {service.name for service in sheet.services})
     _check_places(sheet)
+    check_accounts(sheet.accounts or [])
     return sheet
 
 
--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -12,6 +12,8 @@
 from cinderway._ids import Address, DataHall, ServerName, ServiceName
 from cinderway.catalog import (
     NO_LOAD,
+    AccountIndex,
+    AccountRow,
     CatalogMirror,
     CatalogUpdate,
     RegisteredServer,
@@ -44,6 +46,8 @@
     lone_retry_percent: int
     mirror: CatalogMirror = field(default_factory=CatalogMirror)
     routes: RouteIndex | None = None
+    # None where the sheet has no accounts: requests then need no key.
+    accounts: AccountIndex | None = None
     # When the replica that is followed last knew the newest catalog.
     current_at_ms: int = 0
     activity: anyio.Event = field(default_factory=anyio.Event)
@@ -54,6 +58,7 @@
     _new_suspects: dict[ServerName, int] = field(default_factory=dict)
     # Servers of which the hall is to be told, in the order in which they changed.
     _changed_loads: dict[ServerName, None] = field(default_factory=dict)
+    _account_rows: list[AccountRow] | None = None
     _routed: anyio.Event = field(default_factory=anyio.Event)
     _suspicions: Suspicions = field(default_factory=Suspicions)
 
@@ -179,11 +184,19 @@
             return True
         if update.packed_sheet or self.routes is None:
             self.routes = RouteIndex(sheet)
+            self._install_accounts(sheet.accounts)
             self._routed.set()
             self.evidence.assume_paces(_objectives_of(sheet))
         self._refresh(now_ms)
         return True
 
+    def _install_accounts(self, rows: list[AccountRow] | None) -> None:
+        """Take over a sheet's accounts; most sheets change none of them."""
+        if rows == self._account_rows:
+            return
+        self._account_rows = rows
+        self.accounts = None if rows is None else AccountIndex(rows)
+
     def apply(self, verdicts: VerdictBatch) -> None:
         """Bring ejections and shares in line with a replica's verdicts."""
         for pace in verdicts.paces:
--- a/src/cinderway/entry/_catalog_daemon.py
+++ b/src/cinderway/entry/_catalog_daemon.py
@@ -93,6 +93,7 @@
         expected=settings.expected_header,
         not_run=settings.not_run_header,
         seal=settings.seal_header,
+        account=settings.account_header,
         is_echoed=True,
         passes_own=True,
     )
--- a/src/cinderway/entry/callers/_answers.py
+++ b/src/cinderway/entry/callers/_answers.py
@@ -16,6 +16,7 @@
 
 STATUS_OF_CODE = {
     ErrorCode.UNKNOWN_SERVICE: 404,
+    ErrorCode.ACCOUNT_UNKNOWN: 401,
     ErrorCode.REQUEST_TOO_LARGE: 413,
     ErrorCode.KEY_REQUIRED: 428,
     ErrorCode.KEY_REUSED: 422,
@@ -23,6 +24,8 @@
     ErrorCode.CLAIM_RUNNING: 409,
     ErrorCode.ANSWER_NOT_KEPT: 409,
     ErrorCode.CALLER_LIMIT: 429,
+    ErrorCode.ALLOWANCE_SPENT: 429,
+    ErrorCode.ALLOWANCE_UNKNOWN: 503,
     ErrorCode.QUEUE_FULL: 503,
     ErrorCode.DEADLINE_PASSED: 503,
     ErrorCode.NO_BACKEND_SERVER: 503,
@@ -34,11 +37,12 @@
     ErrorCode.BACKEND_FAILED: 502,
     ErrorCode.ANSWER_CUT_SHORT: 502,
 }
+UNAUTHORIZED = 401
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 # Coming back later does not change these.
-WITHOUT_RETRY = {400, 404, 413, 422, 428}
+WITHOUT_RETRY = {400, UNAUTHORIZED, 404, 413, 422, 428}
 
 
 class Problem(msgspec.Struct, frozen=True):
@@ -82,6 +86,8 @@
         (b"content-type", PROBLEM_TYPE),
         (OUTCOME_HEADER, outcome.value.encode()),
     ]
+    if status == UNAUTHORIZED:
+        headers.append((b"www-authenticate", b"Bearer"))
     if status not in WITHOUT_RETRY and outcome is not Resolution.RAN:
         headers.append((b"retry-after", f"{retry_after_s:g}".encode()))
     return OwnAnswer(status, headers, msgspec.json.encode(problem))
--- a/src/cinderway/entry/callers/_requests.py
+++ b/src/cinderway/entry/callers/_requests.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from cinderway._http_body import whole_body
-from cinderway._ids import AttemptId, CallerName, ServerName
+from cinderway._ids import AccountName, AttemptId, CallerName, ServerName
 from cinderway.entry.servers._messages import (
     DEADLINE_HEADER,
     OWN_NAMES,
@@ -119,18 +119,30 @@
 
 
 def backend_request_of(
-    scope: dict, body: bytes, names: HeaderNames = OWN_NAMES
+    scope: dict,
+    body: bytes,
+    names: HeaderNames = OWN_NAMES,
+    caller_headers: Headers | None = None,
+    account: AccountName | None = None,
 ) -> BackendRequest:
-    """Return what goes to the backend server."""
+    """Return what goes to the backend server.
+
+    `caller_headers` stand in place of the request's own where some may not go on;
+    `account` is the client account that servers are told.
+    """
     target = scope["raw_path"]
     if scope["query_string"]:
         target += b"?" + scope["query_string"]
     # The attempt's name is set anew for each send.
     headers = [
         (name, value)
-        for name, value in forwarded(scope["headers"], names)
+        for name, value in forwarded(
+            scope["headers"] if caller_headers is None else caller_headers, names
+        )
         if name != names.attempt
     ]
+    if account is not None and names.account:
+        headers.append((names.account, account.encode()))
     if body or scope["method"] not in ("GET", "HEAD", "OPTIONS"):
         headers.append((b"content-length", str(len(body)).encode()))
     if find_header(headers, b"host") is None:
--- a/src/cinderway/entry/callers/_route_handler.py
+++ b/src/cinderway/entry/callers/_route_handler.py
@@ -16,6 +16,12 @@
 from cinderway._operators import Metrics
 from cinderway.catalog import RouteRow, pick_service
 from cinderway.entry._catalog_board import CatalogBoard
+from cinderway.entry.callers._accounts import (
+    ANONYMOUS,
+    Identity,
+    headers_for_servers,
+    identify,
+)
 from cinderway.entry.callers._answers import problem_answer
 from cinderway.entry.callers._attempts import Attempts
 from cinderway.entry.callers._outcomes import OutcomeError
@@ -97,10 +103,13 @@
     ) -> None:
         await self._wait_for_sheet(scope, served.started_at_ms)
         served.route = route = self._route_of(scope)
+        # Before the body: whoever may not send it need not.
+        served.identity = self._identity_of(scope, route)
         deadline_ms = self._deadline_of(scope, route, served.started_at_ms)
         body = await self._body_by(deadline_ms, receive)
-        # Another sheet may have come in the meantime: its services are the ones known.
+        # Another sheet may have come in the meantime: its services and keys count.
         served.route = route = self._route_of(scope)
+        served.identity = self._identity_of(scope, route)
         served.service = pick_service(route, self.state.board.rng)
         served.request = self._request_of(scope, route, served, deadline_ms, body)
         await self._attempt(route, served.service, served.request, receive, reply)
@@ -118,16 +127,27 @@
             method=scope["method"],
             path=scope["path"],
             headers=scope["headers"],
-            caller=CallerName(""),
+            caller=CallerName(served.identity.account_name or ""),
             deadline_ms=deadline_ms,
             body=body,
-            backend_request=backend_request_of(scope, body, self.names),
+            backend_request=backend_request_of(
+                scope,
+                body,
+                self.names,
+                headers_for_servers(
+                    scope["headers"], self.names.account, self.state.accounts
+                ),
+                served.identity.account_name,
+            ),
             attempt_id=AttemptId(attempt_id) if attempt_id else None,
             objective_ms=route.objective_ms,
             server_limit=route.server_limit or DEFAULT_SERVER_LIMIT,
             penalties=penalties_of(route.kind),
         )
 
+    def _identity_of(self, scope: dict, route: RouteRow) -> Identity:
+        return identify(self.state.accounts, route, scope["headers"])
+
     async def _wait_for_sheet(self, scope: dict, now_ms: int) -> None:
         if self.state.routes is not None:
             return
@@ -221,6 +241,7 @@
             servers=tuple(served.request.tried) if served.request else (),
             revision=self.state.mirror.revision,
             age_ms=self.state.age_ms(now_ms),
+            account=served.identity.account_name or NONE,
         )
         logger.info("%s%s", line, f"; {served.error}" if served.error else "")
 
@@ -232,6 +253,7 @@
         self.started_at_ms = started_at_ms
         self.attempt_id = (attempt_header or b"").decode("latin-1")
         self.route: RouteRow | None = None
+        self.identity: Identity = ANONYMOUS
         self.service: ServiceName | None = None
         self.request: CallerRequest | None = None
         self.error: CinderwayError | None = None
--- a/src/cinderway/entry/servers/_messages.py
+++ b/src/cinderway/entry/servers/_messages.py
@@ -32,7 +32,8 @@
 class HeaderNames:
     """The headers that entries and backend servers speak by, in lower case.
 
-    `expected`, `not_run` and `seal` are empty where servers know no such header.
+    `expected`, `not_run`, `seal` and `account` are empty where servers know no such
+    header; `account` names the client account that a request belongs to.
     `is_echoed` says that every answer carries the attempt's name back, and
     `passes_own` that headers of our own prefix go on to the other side.
     """
@@ -43,6 +44,7 @@
     expected: bytes = b""
     not_run: bytes = b""
     seal: bytes = b""
+    account: bytes = b""
     is_echoed: bool = False
     passes_own: bool = False
 
--- a/src/cinderway/reports/_request_line.py
+++ b/src/cinderway/reports/_request_line.py
@@ -2,12 +2,16 @@
 
 import re
 from dataclasses import dataclass
+from urllib.parse import quote, unquote
 
 NONE = "none"
+# Signs of an account's name that stand in the line as they are.
+NAME_SIGNS = "-_.~@:+"
 PATTERN = re.compile(
     r"(?:^|[ :\"])request (?P<name>\S+): (?P<outcome>\S+) in (?P<duration_ms>\d+) ms; "
     r"route (?P<route>\S+), service (?P<service>\S+), servers (?P<servers>\S+), "
     r"catalog (?P<revision>\d+) known (?P<age_ms>-?\d+) ms ago"
+    r"(?:, account (?P<account>[^\s;]+))?"
     r"(?:; \[(?P<code>[^\]]+)\].*?\(step (?P<step>[^,)]+))?"
 )
 
@@ -30,6 +34,7 @@
     age_ms: int
     code: str = ""
     step: str = ""
+    account: str = NONE
 
     def __str__(self) -> str:
         """Return the line's text, without the error."""
@@ -37,7 +42,8 @@
             f"request {self.name}: {self.outcome} in {self.duration_ms} ms; "
             f"route {self.route}, service {self.service}, "
             f"servers {','.join(self.servers) or NONE}, "
-            f"catalog {self.revision} known {self.age_ms} ms ago"
+            f"catalog {self.revision} known {self.age_ms} ms ago, "
+            f"account {quote(self.account, safe=NAME_SIGNS)}"
         )
 
 
@@ -58,4 +64,5 @@
         age_ms=int(found["age_ms"]),
         code=found["code"] or "",
         step=found["step"] or "",
+        account=unquote(found["account"] or NONE),
     )
--- a/tests/entry/callers/test_route_handler.py
+++ b/tests/entry/callers/test_route_handler.py
@@ -20,7 +20,7 @@
 from cinderway.judgement import EvidenceLog
 
 
-def sheet(version, service="lookup", kind="repeatable"):
+def sheet(version, service="lookup", kind="repeatable", **fields):
     route = {
         "name": "r",
         "host": "a.example",
@@ -29,7 +29,12 @@
         "timeout_ms": 1000,
         "service": service,
     }
-    content = {"version": version, "routes": [route], "services": [{"name": service}]}
+    content = {
+        "version": version,
+        "routes": [route],
+        "services": [{"name": service}],
+        **fields,
+    }
     return json.dumps(content).encode()
 
 
@@ -38,16 +43,18 @@
 
     def __init__(self):
         self.services = []
+        self.requests = []
 
     async def whole_answer(self, service, request, is_repeatable):
         self.services.append(service.row.name)
+        self.requests.append(request)
         return WholeAnswer(200, [], b"done")
 
 
 class Caller:
     """One caller's request, its body in two parts, and what came back for it."""
 
-    def __init__(self, deadline_ms, between_parts=None):
+    def __init__(self, deadline_ms, between_parts=None, headers=()):
         self.statuses = []
         self._parts = [b"first ", b"second"]
         self._between_parts = between_parts
@@ -61,6 +68,7 @@
             "headers": [
                 (b"host", b"a.example"),
                 (b"cinderway-deadline-ms", str(deadline_ms).encode()),
+                *headers,
             ],
         }
 
@@ -89,13 +97,17 @@
         board = Blackboard(EntryName("e1"), DataHall("suva"), random.Random(1))
         self.state = CatalogBoard(board, EvidenceLog(), lone_retry_percent=5)
         self.attempts = AnsweringAttempts()
-        self.handler = RouteHandler(self.state, self.attempts, HeaderNames(), Metrics())
+        self.handler = RouteHandler(
+            self.state,
+            self.attempts,
+            HeaderNames(account=b"cinderway-account"),
+            Metrics(),
+        )
 
-    def install(self, version, service="lookup", kind="repeatable"):
+    def install(self, version, service="lookup", kind="repeatable", **fields):
         known = self.machine.revision
-        self.machine.apply(
-            known + 1, encode_command(InstallSheet(sheet(version, service, kind)))
-        )
+        body = sheet(version, service, kind, **fields)
+        self.machine.apply(known + 1, encode_command(InstallSheet(body)))
         self.state.install(self.machine.update_since(known), now_ms=0)
 
     async def serve(self, caller):
@@ -136,6 +148,39 @@
         self.assertEqual(anyio.run(self.serve, caller), [200])
         self.assertEqual(self.attempts.services, ["archive"])
 
+    def test_a_request_goes_to_servers_under_its_accounts_name_without_its_key(self):
+        self.install(1, accounts=[{"name": "acme", "keys": ["k3y0fAcme"]}])
+        told = [
+            (b"authorization", b"Bearer k3y0fAcme"),
+            (b"cinderway-account", b"other"),
+        ]
+        caller = Caller(60_000, headers=told)
+        self.assertEqual(anyio.run(self.serve, caller), [200])
+        headers = self.attempts.requests[0].backend_request.headers
+        self.assertIn((b"cinderway-account", b"acme"), headers)
+        self.assertNotIn(b"other", dict(headers).values())
+        self.assertNotIn(b"k3y0fAcme", repr(headers).encode())
+
+    def test_a_request_without_a_known_key_is_refused_before_its_body_comes(self):
+        self.install(1, accounts=[])
+        caller = Caller(60_000, between_parts=lambda: self.fail("the body was read"))
+        self.assertEqual(anyio.run(self.serve, caller), [401])
+        self.assertEqual(self.attempts.services, [])
+
+    def test_a_key_that_is_taken_away_while_the_body_comes_no_longer_counts(self):
+        self.install(1, accounts=[{"name": "acme", "keys": ["k3y0fAcme"]}])
+        caller = Caller(
+            60_000,
+            between_parts=lambda: self.install(2, accounts=[{"name": "acme"}]),
+            headers=[(b"authorization", b"Bearer k3y0fAcme")],
+        )
+        self.assertEqual(anyio.run(self.serve, caller), [401])
+        self.assertEqual(self.attempts.services, [])
+
+    def test_an_entry_without_a_sheet_refuses_nobody_for_good(self):
+        caller = Caller(40, headers=[(b"authorization", b"Bearer k3y0fAcme")])
+        self.assertEqual(anyio.run(self.serve, caller), [503])
+
     def test_a_caller_whose_request_was_shed_may_come_back_sooner(self):
         for spread in (0.0, 0.5, 1.0):
             shed_s = retry_after_s(ErrorCode.BACKEND_SHED, spread)
