--- a/src/cinderway/_settings/_catalog_roles.py
+++ b/src/cinderway/_settings/_catalog_roles.py
@@ -19,6 +19,7 @@
 )
 from cinderway._settings._parsers import (
     integer,
+    number_or,
     parse_address,
     parse_flag,
     parse_name,
@@ -76,6 +77,24 @@
         "Second tries in ten seconds beyond that share, for each such entry.",
         "1",
     )
+    allowance_window_s: float = setting(
+        number_or(5.0),
+        "a number above 0, or nothing for 5",
+        "Span in which client accounts' requests are counted against rate and burst.",
+        "",
+    )
+    allowance_overshoot_ratio: float = setting(
+        number_or(0.0),
+        "a number, 0 or above, or nothing for 0",
+        "What accounts may send beyond rate and burst, as a part of them.",
+        "",
+    )
+    allowance_slack_requests: float = setting(
+        number_or(0.0),
+        "a number, 0 or above, or nothing for 0",
+        "What accounts may send beyond rate and burst in a span, besides.",
+        "",
+    )
     data_folder: Path = setting(Path, "a folder's path", "Where state is kept.")
     shared_key: bytes = shared_key_field()
     operators_listen: Address = operators_listen_field()
--- a/src/cinderway/_settings/_parsers.py
+++ b/src/cinderway/_settings/_parsers.py
@@ -1,5 +1,6 @@
 """Parsers of settings' texts: each returns the value or raises ValueError."""
 
+import math
 import re
 from collections.abc import Callable
 
@@ -80,6 +81,18 @@
     return parse
 
 
+def number_or(default: float) -> Callable[[str], float]:
+    """Return a parser of numbers from 0 on; the empty text stands for the default."""
+
+    def parse(text: str) -> float:
+        value = float(text) if text else default
+        if not (value >= 0 and math.isfinite(value)):
+            raise ValueError(text)
+        return value
+
+    return parse
+
+
 def one_of(*options: str) -> Callable[[str], str]:
     """Return a parser that takes just these texts."""
 
--- a/src/cinderway/catalog/_conversation.py
+++ b/src/cinderway/catalog/_conversation.py
@@ -5,7 +5,15 @@
 replica's own knowledge is.
 """
 
-from cinderway._ids import Address, DataHall, EntryName, ServerName, ServiceName
+from cinderway._ids import (
+    AccountName,
+    Address,
+    DataHall,
+    EntryName,
+    ServerName,
+    ServiceName,
+)
+from cinderway.limits import TokenAsk
 from cinderway.wire import Conversation, Done, Failure, Message
 
 
@@ -172,6 +180,63 @@
     addresses: list[Address]
 
 
+class HeldAllowance(Message, frozen=True):
+    """What a holder has of one account's tokens, and what it would like.
+
+    `used` counts those used since it last said so; `needed` are for requests that wait,
+    `wanted` these and what it would save up.
+    """
+
+    account: AccountName
+    used: int = 0
+    held: int = 0
+    needed: int = 0
+    wanted: int = 0
+
+    @classmethod
+    def of(cls, account: AccountName, ask: TokenAsk) -> "HeldAllowance":
+        """Return the line that brings an ask to a replica."""
+        return cls(account, ask.used, ask.held, ask.needed, ask.wanted)
+
+    @property
+    def ask(self) -> TokenAsk:
+        """The ask that `of` made this line from."""
+        return TokenAsk(self.used, self.held, self.needed, self.wanted)
+
+
+class AskAllowances(Message, frozen=True):
+    """Tell a replica of tokens used and held, and ask for more.
+
+    `replica` is the address of the one that asks, if a replica would borrow.
+    """
+
+    lines: list[HeldAllowance]
+    replica: Address = Address("")
+
+
+class GrantedAllowance(Message, frozen=True):
+    """How many tokens of one account were added.
+
+    Where these are fewer than needed, `room_in_ms` says when there may be more.
+    """
+
+    account: AccountName
+    granted: int
+    room_in_ms: int
+
+
+class GrantAllowances(Message, frozen=True):
+    """A replica's answer to AskAllowances, line by line.
+
+    All that is held may be used for `lease_ms` from when the asker asked. Limits count
+    in spans of `window_ms`.
+    """
+
+    lines: list[GrantedAllowance]
+    lease_ms: int
+    window_ms: int
+
+
 class SubmitCommand(Message, frozen=True):
     """One replica asks the leader to replicate a command for it."""
 
@@ -192,6 +257,8 @@
         SuspectServers,
         ServerLoads,
         HallEntries,
+        AskAllowances,
+        GrantAllowances,
         TakeRetry,
         RetryAnswer,
         SubmitCommand,
--- /dev/null
+++ b/src/cinderway/control/_allowances.py
@@ -0,0 +1,313 @@
+"""What one replica hands out of client accounts' allowances.
+
+Each voting replica has an equal share of every account's limit, so that no two of them
+have to agree before a token is handed out, whatever is cut from whom. A replica whose
+entries need more than its share borrows from the others; a loan is a lease like an
+entry's, only longer, and what is borrowed is not lent on.
+"""
+
+import logging
+from collections.abc import Callable, Hashable, Mapping
+from dataclasses import dataclass, field
+from types import MappingProxyType
+
+import anyio
+
+from cinderway._clock import monotonic_ms
+from cinderway._errors import CinderwayError
+from cinderway._ids import AccountName, Address
+from cinderway.catalog import (
+    AccountRow,
+    AskAllowances,
+    CatalogMachine,
+    GrantAllowances,
+    GrantedAllowance,
+    HeldAllowance,
+    RouteSheet,
+)
+from cinderway.control._commands import ReplicaCalls
+from cinderway.limits import AllowancePool, AllowanceRules, TokenAnswer, TokenAsk
+
+logger = logging.getLogger(__name__)
+
+# How long an entry may use a token, and so serves on without control. What it holds is
+# charged until a window after that, should it never be heard of again.
+LEASE_MS = 4_000
+# How long a replica may hand out what it has borrowed, before tokens handed out last
+# have to end within the loan.
+LOAN_USE_MS = 5_000
+# Between two looks at which accounts run short here.
+BORROW_PAUSE_S = 0.25
+# Within the time that an entry waits for its answer.
+BORROW_TIMEOUT_S = 0.15
+# A share of which less than this is free is short, and asks for as much again.
+SHORT_SHARE = 0.4
+BORROW_SHARE = 0.5
+# How soon an entry may ask again for an account that this replica does not know yet.
+UNKNOWN_ROOM_MS = 100
+# How long others are not asked again after they had too little: an account that has
+# spent all of its allowance must not keep the replicas busy.
+URGE_PAUSE_MS = 200
+
+
+@dataclass(frozen=True)
+class Standing:
+    """This replica's place in the group: its share is one of `voters`, or nothing."""
+
+    is_voter: bool
+    voters: int
+
+    @property
+    def share(self) -> float:
+        """The part of each account's limit that this replica hands out."""
+        return 1 / self.voters if self.is_voter and self.voters else 0.0
+
+
+@dataclass
+class _Loan:
+    """Tokens that another replica lent, and until when they may be handed out."""
+
+    tokens: int = 0
+    usable_until_ms: int = 0
+
+
+@dataclass
+class _AccountState:
+    """One account's tokens here: its pool, and what others lent to it."""
+
+    pool: AllowancePool
+    loans: dict[Address, _Loan] = field(default_factory=dict)
+    # When others last had too few tokens for the requests that waited.
+    denied_at_ms: int = -URGE_PAUSE_MS
+
+    def borrowed(self, now_ms: int) -> int:
+        """Return the tokens that others lent and that may be handed out."""
+        loans = self.loans.values()
+        return sum(loan.tokens for loan in loans if now_ms < loan.usable_until_ms)
+
+
+@dataclass
+class Allowances:
+    """All accounts' tokens at one replica."""
+
+    own: Address
+    machine: CatalogMachine
+    calls: ReplicaCalls
+    rules: AllowanceRules
+    standing: Callable[[], Standing]
+    _accounts: dict[AccountName, _AccountState] = field(default_factory=dict)
+    _rows: dict[AccountName, AccountRow] = field(default_factory=dict)
+    _rows_of: RouteSheet | None = None
+
+    @property
+    def loan_ms(self) -> int:
+        """How long a loan is charged to its lender, before the window after it."""
+        return LOAN_USE_MS + LEASE_MS
+
+    def grant(
+        self, holder: Hashable, asked: AskAllowances, now_ms: int
+    ) -> GrantAllowances:
+        """Answer an entry, or another replica where `asked.replica` says so."""
+        lines = []
+        for held in asked.lines:
+            row = self._row_of(held.account)
+            if row is None:
+                answer = TokenAnswer(0, UNKNOWN_ROOM_MS)
+            elif asked.replica:
+                answer = self._lend(row, asked.replica, held.ask, now_ms)
+            else:
+                answer = self._hand_out(row, holder, held.ask, now_ms)
+            lines.append(
+                GrantedAllowance(held.account, answer.granted, answer.room_in_ms)
+            )
+        lease_ms = self.loan_ms if asked.replica else LEASE_MS
+        return GrantAllowances(lines, lease_ms, self.rules.window_ms)
+
+    async def complete(
+        self, holder: Hashable, asked: AskAllowances, first: GrantAllowances
+    ) -> GrantAllowances:
+        """Return an entry's answer, with what others lend where it got too little.
+
+        Within the allowance nobody is to be refused because of how it is shared out.
+        """
+        missing = self._missing(asked, first, monotonic_ms())
+        if not missing:
+            return first
+        await self._borrow([self._rows[name] for name in missing], missing)
+        now_ms = monotonic_ms()
+        lines = [
+            self._topped_up(holder, line, missing.get(line.account, 0), now_ms)
+            for line in first.lines
+        ]
+        return GrantAllowances(lines, first.lease_ms, first.window_ms)
+
+    def _missing(
+        self, asked: AskAllowances, answer: GrantAllowances, now_ms: int
+    ) -> dict[AccountName, int]:
+        """Return how many tokens of which accounts are worth asking others for."""
+        found = {}
+        if asked.replica:
+            return found
+        for held, line in zip(asked.lines, answer.lines, strict=True):
+            state = self._accounts.get(line.account)
+            if held.needed <= line.granted or state is None:
+                continue
+            if now_ms - state.denied_at_ms >= URGE_PAUSE_MS:
+                found[line.account] = held.needed - line.granted
+        return found
+
+    def _topped_up(
+        self, holder: Hashable, line: GrantedAllowance, missing: int, now_ms: int
+    ) -> GrantedAllowance:
+        row = self._row_of(line.account)
+        if not missing or row is None:
+            return line
+        state = self._state_of(row.name)
+        limit = self._share_of(row) + state.borrowed(now_ms)
+        added = state.pool.add(holder, missing, limit, now_ms, LEASE_MS)
+        if added < missing:
+            state.denied_at_ms = now_ms
+        return GrantedAllowance(line.account, line.granted + added, line.room_in_ms)
+
+    async def run(self) -> None:
+        """Borrow what runs short until cancelled."""
+        while True:
+            await anyio.sleep(BORROW_PAUSE_S)
+            now_ms = monotonic_ms()
+            self.forget_idle(now_ms)
+            short = self._short(now_ms)
+            if short:
+                await self._borrow(short)
+
+    @property
+    def accounts_in_use(self) -> int:
+        """Accounts of which tokens are held or were used lately."""
+        return len(self._accounts)
+
+    def charged(self, name: AccountName, now_ms: int) -> int:
+        """Return how many of an account's tokens count against its share here."""
+        state = self._accounts.get(name)
+        return state.pool.charged(now_ms) if state is not None else 0
+
+    def _hand_out(
+        self, row: AccountRow, holder: Hashable, ask: TokenAsk, now_ms: int
+    ) -> TokenAnswer:
+        state = self._state_of(row.name)
+        limit = self._share_of(row) + state.borrowed(now_ms)
+        return state.pool.take(holder, ask, limit, now_ms, LEASE_MS)
+
+    def _lend(
+        self, row: AccountRow, replica: Address, ask: TokenAsk, now_ms: int
+    ) -> TokenAnswer:
+        """Lend of the own share alone: what was borrowed ends before such a loan."""
+        pool = self._state_of(row.name).pool
+        answer = pool.take(replica, ask, self._share_of(row), now_ms, self.loan_ms)
+        if answer.granted:
+            logger.info(
+                "lent %d tokens of account %s to replica %s; %d charged of %.1f",
+                answer.granted,
+                row.name,
+                replica,
+                pool.charged(now_ms),
+                self._share_of(row),
+            )
+        return answer
+
+    def _state_of(self, name: AccountName) -> _AccountState:
+        state = self._accounts.get(name)
+        if state is None:
+            state = _AccountState(AllowancePool(self.rules.window_ms))
+            self._accounts[name] = state
+        return state
+
+    def _row_of(self, name: AccountName) -> AccountRow | None:
+        sheet = self.machine.sheet
+        if sheet is not self._rows_of:
+            self._rows_of = sheet
+            rows = sheet.accounts or [] if sheet is not None else []
+            self._rows = {row.name: row for row in rows if row.is_limited}
+        return self._rows.get(name)
+
+    def _limit_of(self, row: AccountRow) -> float:
+        return self.rules.limit(row.rate_per_s, row.burst or 0.0)
+
+    def _share_of(self, row: AccountRow) -> float:
+        return self._limit_of(row) * self.standing().share
+
+    # Borrowing.
+
+    def forget_idle(self, now_ms: int) -> None:
+        """Drop accounts of which nothing is charged here."""
+        idle = [
+            name
+            for name, state in self._accounts.items()
+            if not state.pool.charged(now_ms) and not state.borrowed(now_ms)
+        ]
+        for name in idle:
+            del self._accounts[name]
+
+    def _short(self, now_ms: int) -> list[AccountRow]:
+        """Return the accounts whose entries will soon need more than is free here."""
+        rows = [self._row_of(name) for name in self._accounts]
+        return [row for row in rows if row is not None and self._is_short(row, now_ms)]
+
+    def _is_short(self, row: AccountRow, now_ms: int) -> bool:
+        state = self._accounts[row.name]
+        charged = state.pool.charged(now_ms)
+        # What counts on a loan: it has to be renewed as long as that lasts.
+        share = self._share_of(row)
+        free = share + state.borrowed(now_ms) - charged
+        return free < self._usual_share(row) * SHORT_SHARE or charged > share
+
+    def _usual_share(self, row: AccountRow) -> float:
+        return self._limit_of(row) / max(self.standing().voters, 1)
+
+    async def _borrow(
+        self,
+        rows: list[AccountRow],
+        missing: Mapping[AccountName, int] = MappingProxyType({}),
+    ) -> None:
+        """Ask all other replicas, each for its part; requests wait for `missing`."""
+        now_ms = monotonic_ms()
+        lenders = [address for address in self.machine.replicas if address != self.own]
+        async with anyio.create_task_group() as tasks:
+            for lender in lenders:
+                part = {n: -(-count // len(lenders)) for n, count in missing.items()}
+                lines = [
+                    self._line_for(lender, row, now_ms, part.get(row.name, 0))
+                    for row in rows
+                ]
+                tasks.start_soon(self._borrow_from, lender, lines, now_ms)
+
+    async def _borrow_from(
+        self, lender: Address, lines: list[HeldAllowance], asked_at_ms: int
+    ) -> None:
+        try:
+            answer = await self.calls.call(
+                lender, AskAllowances(lines, self.own), BORROW_TIMEOUT_S
+            )
+        except CinderwayError as error:
+            logger.debug("nothing borrowed: %s", error)
+            return
+        if isinstance(answer, GrantAllowances):
+            for line in answer.lines:
+                self._note_loan(lender, line, asked_at_ms)
+
+    def _line_for(
+        self, lender: Address, row: AccountRow, now_ms: int, needed: int
+    ) -> HeldAllowance:
+        loan = self._state_of(row.name).loans.get(lender, _Loan())
+        held = loan.tokens if now_ms < loan.usable_until_ms else 0
+        wanted = self._usual_share(row) * BORROW_SHARE
+        free = self._share_of(row) + self._state_of(row.name).borrowed(now_ms)
+        free -= self.charged(row.name, now_ms)
+        more = max(round(wanted - max(free, 0)), 0)
+        return HeldAllowance(row.name, 0, held, needed, needed + more)
+
+    def _note_loan(
+        self, lender: Address, line: GrantedAllowance, asked_at_ms: int
+    ) -> None:
+        loan = self._state_of(line.account).loans.setdefault(lender, _Loan())
+        held = loan.tokens if asked_at_ms < loan.usable_until_ms else 0
+        loan.tokens = held + line.granted
+        loan.usable_until_ms = asked_at_ms + LOAN_USE_MS
--- a/src/cinderway/control/_catalog_daemon.py
+++ b/src/cinderway/control/_catalog_daemon.py
@@ -19,6 +19,7 @@
 from cinderway._settings import CatalogControlSettings
 from cinderway._settings_watch import SettingsWatch
 from cinderway.catalog import AnnounceReplica, CatalogMachine
+from cinderway.control._allowances import Allowances, Standing
 from cinderway.control._catalog_http import CatalogHttp
 from cinderway.control._catalog_service import CatalogService
 from cinderway.control._commands import Commands, ReplicaCalls
@@ -26,6 +27,7 @@
 from cinderway.control._hall_news import HallNews
 from cinderway.control._hall_service import HallService
 from cinderway.control._retry_pools import RetryPools
+from cinderway.limits import AllowanceRules
 from cinderway.replication import DataFolder, Node, NodeSettings, Timing
 from cinderway.wire import Identity, serve_connections
 
@@ -48,6 +50,9 @@
 # A catalog of today's fleets takes some 15 KB, a sheet some 8 KB. A replica that joins
 # gets the log as well, so it is kept at some thirty sheets.
 COMPACT_AT_BYTES = 256 * 1024
+# Of what an account may send beyond its allowance. The rest is for tokens that nobody
+# counts: of a replica that lost its memory, held by entries that reach no other yet.
+TOLERANCE_SHARE = 0.9
 
 
 async def run_catalog_control(settings: CatalogControlSettings) -> None:
@@ -74,6 +79,13 @@
             HallAssessor(rules),
             RetryPools(settings.retry_percent, settings.retry_burst),
         ),
+        Allowances(
+            settings.listen,
+            machine,
+            calls,
+            _allowance_rules(settings),
+            lambda: _standing(node),
+        ),
     )
     async with anyio.create_task_group() as tasks:
         routes = (node.route, service.route)
@@ -110,6 +122,19 @@
         folder.close()
 
 
+def _allowance_rules(settings: CatalogControlSettings) -> AllowanceRules:
+    return AllowanceRules(
+        round(settings.allowance_window_s * 1000),
+        settings.allowance_overshoot_ratio * TOLERANCE_SHARE,
+        settings.allowance_slack_requests * TOLERANCE_SHARE,
+    )
+
+
+def _standing(node: Node) -> Standing:
+    voters = node.core.membership.voters
+    return Standing(node.core.replica_id in voters, len(voters))
+
+
 def _use_seeds(node: Node, settings: CatalogControlSettings) -> None:
     node.peers = _peers_of(settings)
     logger.info("seeds are now %s", ", ".join(settings.seeds))
@@ -144,5 +169,6 @@
         "catalog_revision": float(service.machine.revision),
         "catalog_servers": float(len(service.machine.registry.servers)),
         "sheet_version": float(sheet.version if sheet else 0),
+        "accounts_in_use": float(service.allowances.accounts_in_use),
         "entries_following": float(len(service.hall.followers)),
     }
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -14,11 +14,13 @@
 from cinderway.catalog import (
     CATALOG,
     AnnounceReplica,
+    AskAllowances,
     CatalogHeartbeat,
     CatalogMachine,
     EvidenceBatch,
     FindReplicas,
     FollowCatalog,
+    GrantAllowances,
     ReplicasAnswer,
     RetryAnswer,
     ServerLoads,
@@ -26,6 +28,7 @@
     SuspectServers,
     TakeRetry,
 )
+from cinderway.control._allowances import Allowances
 from cinderway.control._commands import Commands, ReplicaCalls
 from cinderway.control._follower import Follower
 from cinderway.control._hall_service import HallService
@@ -56,6 +59,7 @@
     calls: ReplicaCalls
     commands: Commands
     hall: HallService
+    allowances: Allowances
 
     @property
     def route(self) -> Route:
@@ -68,6 +72,7 @@
             self.calls.start(tasks)
             tasks.start_soon(self._announce)
             tasks.start_soon(self.hall.run)
+            tasks.start_soon(self.allowances.run)
             await self._wake_followers()
 
     def leader_age_ms(self) -> int:
@@ -95,6 +100,18 @@
                         case ServerLoads(servers=loads):
                             self.hall.news.hear_loads(connection, loads)
                             await connection.send(Done(), envelope.call_id)
+                        case AskAllowances() as asked:
+                            # In the order in which a holder spoke.
+                            granted = self.allowances.grant(
+                                connection, asked, monotonic_ms()
+                            )
+                            tasks.start_soon(
+                                self._answer_allowances,
+                                connection,
+                                envelope.call_id,
+                                asked,
+                                granted,
+                            )
                         case message:
                             tasks.start_soon(
                                 self._answer, connection, envelope.call_id, message
@@ -114,6 +131,20 @@
             logger.debug("an answer was not sent: %s", error)
             await connection.aclose()
 
+    async def _answer_allowances(
+        self,
+        connection: Connection,
+        call_id: int,
+        asked: AskAllowances,
+        granted: GrantAllowances,
+    ) -> None:
+        answer = await self.allowances.complete(connection, asked, granted)
+        try:
+            await connection.send(answer, call_id)
+        except CinderwayError as error:
+            logger.debug("an answer on allowances was not sent: %s", error)
+            await connection.aclose()
+
     async def _handle(self, message: Message) -> Message:
         try:
             match message:
--- a/src/cinderway/entry/_catalog_daemon.py
+++ b/src/cinderway/entry/_catalog_daemon.py
@@ -55,7 +55,7 @@
     attempts = Attempts(
         dispatcher, metrics, ANSWER_LIMIT_BYTES, pays_for_sheds=True, budget=follower
     )
-    handler = RouteHandler(state, attempts, names, metrics)
+    handler = RouteHandler(state, attempts, names, metrics, follower.allowances)
     server = http_server(settings.callers_listen, handler, keep_alive_s=KEEP_ALIVE_S)
     async with anyio.create_task_group() as tasks:
         watch = SettingsWatch(settings, follower.use_settings)
@@ -130,6 +130,8 @@
         "requests_in_flight": float(board.in_flight),
         "attempts": float(dispatcher.attempts),
         "sheds": float(dispatcher.sheds),
+        "allowance_tokens_held": float(follower.allowances.held),
+        "allowance_refusals": float(follower.allowances.refusals),
         "connections_opened": float(dispatcher.connections.opened),
         "servers_ejected": float(sum(server.is_ejected for server in servers)),
     }
--- a/src/cinderway/entry/callers/_attempts.py
+++ b/src/cinderway/entry/callers/_attempts.py
@@ -79,7 +79,7 @@
             except CinderwayError as error:
                 outcome = tries.note_failure(error)
                 if await self.may_retry(
-                    service, error, outcome, is_repeatable, tries.has_more
+                    service, error, outcome, is_repeatable, tries.has_more, request
                 ):
                     continue
                 if tries.bad_answer is not None:
@@ -88,7 +88,7 @@
             if answer.status < SERVER_ERROR or not is_repeatable:
                 return answer
             tries.note_bad_answer(answer)
-            if not tries.has_more or not await self.spend(service):
+            if not tries.has_more or not await self._pay_again(service, request):
                 return answer
 
     async def _one_whole(
@@ -131,6 +131,8 @@
         async def may_hedge() -> bool:
             if not await self.budget.spend(service, after_failure=False):
                 return False
+            if not await request.permit.renew():
+                return False
             self.metrics.count("hedges_total", {"service": service.row.name})
             return True
 
@@ -147,6 +149,7 @@
         outcome: Resolution,
         is_repeatable: bool,
         has_attempts: bool,
+        request: CallerRequest,
     ) -> bool:
         """Say whether a failed attempt is followed by another, and pay for it."""
         if error.step in (Step.QUEUE, Step.ROUTE):
@@ -159,7 +162,15 @@
         if error.step is Step.CONNECT:
             # Nothing reached a server: no load that a budget would have to bound.
             return has_attempts
-        return has_attempts and await self.spend(service)
+        if not has_attempts:
+            return False
+        if outcome is Resolution.NOT_RUN:
+            return await self.spend(service)
+        return await self._pay_again(service, request)
+
+    async def _pay_again(self, service: ServiceState, request: CallerRequest) -> bool:
+        """Take a retry, and leave to send what may have run once more."""
+        return await self.spend(service) and await request.permit.renew()
 
     async def spend(self, service: ServiceState) -> bool:
         """Take a retry from the service's budget, if there is one left."""
@@ -201,5 +212,7 @@
         """Whether the request may reach another server."""
         if self.request.caller_left.is_set() or self.unreached > UNREACHED_LIMIT:
             return False
+        if not self.request.permit.holds:
+            return False
         reached = max(self.rounds, len(self.request.tried)) - self.unreached
         return reached < self.request.server_limit
--- a/src/cinderway/entry/callers/_requests.py
+++ b/src/cinderway/entry/callers/_requests.py
@@ -47,6 +47,22 @@
     RUN_ONCE = "run-once"
 
 
+class Permit:
+    """Leave to send a request; this one is limited by nothing."""
+
+    @property
+    def holds(self) -> bool:
+        """Whether the request may still be sent at all."""
+        return True
+
+    async def renew(self) -> bool:
+        """Say whether one that may have run can be sent once more, and pay for it."""
+        return True
+
+
+UNLIMITED = Permit()
+
+
 @dataclass(frozen=True)
 class CallerRequest:
     """A whole request with its deadline on this entry's monotonic clock."""
@@ -67,6 +83,8 @@
     tried: set[ServerName] = field(default_factory=set)
     # Set when the caller is gone while an attempt is seen to its end all the same.
     caller_left: anyio.Event = field(default_factory=anyio.Event)
+    # Leave to send it, and to send it again.
+    permit: Permit = UNLIMITED
     # What counts against a server when one is chosen for it.
     penalties: Penalties = USUAL_PENALTIES
 
--- a/src/cinderway/entry/callers/_route_handler.py
+++ b/src/cinderway/entry/callers/_route_handler.py
@@ -12,19 +12,15 @@
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway._ids import AttemptId, CallerName, ServiceName
+from cinderway._ids import AccountName, AttemptId, CallerName, ServiceName
 from cinderway._operators import Metrics
 from cinderway.catalog import RouteRow, pick_service
 from cinderway.entry._catalog_board import CatalogBoard
-from cinderway.entry.callers._accounts import (
-    ANONYMOUS,
-    Identity,
-    headers_for_servers,
-    identify,
-)
+from cinderway.entry.callers._accounts import headers_for_servers
 from cinderway.entry.callers._answers import problem_answer
 from cinderway.entry.callers._attempts import Attempts
 from cinderway.entry.callers._outcomes import OutcomeError
+from cinderway.entry.callers._permits import AccountPermit
 from cinderway.entry.callers._policies import penalties_of, retry_after_s
 from cinderway.entry.callers._reply import Reply, Send
 from cinderway.entry.callers._requests import (
@@ -34,6 +30,7 @@
     find_header,
     read_body,
 )
+from cinderway.entry.fleet._allowances import AllowanceError, Allowances
 from cinderway.entry.servers._messages import (
     HeaderNames,
 )
@@ -63,6 +60,7 @@
     attempts: Attempts
     names: HeaderNames
     metrics: Metrics
+    allowances: Allowances
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one request, from its route to its final answer."""
@@ -90,12 +88,16 @@
             raise
         finally:
             board.in_flight -= 1
+            if served.permit is not None and not served.was_sent:
+                served.permit.give_back()
             self._note_end(served, reply)
 
     async def _refuse(
         self, reply: Reply, error: CinderwayError, outcome: Resolution
     ) -> None:
         after_s = retry_after_s(error.code, self.state.board.rng.random())
+        if isinstance(error, AllowanceError):
+            after_s += error.retry_after_ms / 1000
         await reply.own(problem_answer(error, outcome, after_s))
 
     async def _serve(
@@ -104,12 +106,15 @@
         await self._wait_for_sheet(scope, served.started_at_ms)
         served.route = route = self._route_of(scope)
         # Before the body: whoever may not send it need not.
-        served.identity = self._identity_of(scope, route)
+        permit = AccountPermit(self.state, self.allowances, route, scope["headers"])
+        served.permit = permit
+        permit.identify(route)
         deadline_ms = self._deadline_of(scope, route, served.started_at_ms)
+        await permit.take()
         body = await self._body_by(deadline_ms, receive)
         # Another sheet may have come in the meantime: its services and keys count.
         served.route = route = self._route_of(scope)
-        served.identity = self._identity_of(scope, route)
+        permit.identify(route)
         served.service = pick_service(route, self.state.board.rng)
         served.request = self._request_of(scope, route, served, deadline_ms, body)
         await self._attempt(route, served.service, served.request, receive, reply)
@@ -127,7 +132,7 @@
             method=scope["method"],
             path=scope["path"],
             headers=scope["headers"],
-            caller=CallerName(served.identity.account_name or ""),
+            caller=CallerName(served.account_name or ""),
             deadline_ms=deadline_ms,
             body=body,
             backend_request=backend_request_of(
@@ -137,17 +142,15 @@
                 headers_for_servers(
                     scope["headers"], self.names.account, self.state.accounts
                 ),
-                served.identity.account_name,
+                served.account_name,
             ),
             attempt_id=AttemptId(attempt_id) if attempt_id else None,
             objective_ms=route.objective_ms,
             server_limit=route.server_limit or DEFAULT_SERVER_LIMIT,
             penalties=penalties_of(route.kind),
+            permit=served.permit,
         )
 
-    def _identity_of(self, scope: dict, route: RouteRow) -> Identity:
-        return identify(self.state.accounts, route, scope["headers"])
-
     async def _wait_for_sheet(self, scope: dict, now_ms: int) -> None:
         if self.state.routes is not None:
             return
@@ -241,7 +244,7 @@
             servers=tuple(served.request.tried) if served.request else (),
             revision=self.state.mirror.revision,
             age_ms=self.state.age_ms(now_ms),
-            account=served.identity.account_name or NONE,
+            account=served.account_name or NONE,
         )
         logger.info("%s%s", line, f"; {served.error}" if served.error else "")
 
@@ -253,11 +256,21 @@
         self.started_at_ms = started_at_ms
         self.attempt_id = (attempt_header or b"").decode("latin-1")
         self.route: RouteRow | None = None
-        self.identity: Identity = ANONYMOUS
+        self.permit: AccountPermit | None = None
         self.service: ServiceName | None = None
         self.request: CallerRequest | None = None
         self.error: CinderwayError | None = None
 
+    @property
+    def account_name(self) -> AccountName | None:
+        """The account that the request belongs to, if any."""
+        return self.permit.identity.account_name if self.permit is not None else None
+
+    @property
+    def was_sent(self) -> bool:
+        """Whether a server may have got the request."""
+        return self.request is not None and bool(self.request.tried)
+
 
 async def _watch_caller(
     receive: Receive, scope: anyio.CancelScope, route: RouteRow, request: CallerRequest
--- a/src/cinderway/entry/callers/_stream.py
+++ b/src/cinderway/entry/callers/_stream.py
@@ -95,7 +95,7 @@
     ) -> None:
         outcome = outcome_of_attempt(error)
         is_retried = await self.attempts.may_retry(
-            transfer.service, error, outcome, True, has_attempts
+            transfer.service, error, outcome, True, has_attempts, transfer.request
         )
         if transfer.download is None and not is_retried:
             raise OutcomeError(error, outcome) from error
--- a/src/cinderway/entry/fleet/_catalog_follower.py
+++ b/src/cinderway/entry/fleet/_catalog_follower.py
@@ -16,10 +16,12 @@
 from cinderway._settings import CatalogEntrySettings
 from cinderway.catalog import (
     CATALOG,
+    AskAllowances,
     CatalogHeartbeat,
     CatalogUpdate,
     FindReplicas,
     FollowCatalog,
+    GrantAllowances,
     HallEntries,
     ReplicasAnswer,
     RetryAnswer,
@@ -30,13 +32,14 @@
 )
 from cinderway.entry._blackboard import ServiceState
 from cinderway.entry._catalog_board import CatalogBoard
+from cinderway.entry.fleet._allowances import Allowances
 from cinderway.entry.fleet._catalog_reports import CatalogReports
 from cinderway.entry.fleet._replica_choice import (
     AVOID_MS,
     LEADERLESS_AVOID_MS,
     ReplicaChoice,
 )
-from cinderway.wire import Connection, Envelope, Identity, connect
+from cinderway.wire import Connection, Envelope, Identity, Message, connect
 
 logger = logging.getLogger(__name__)
 
@@ -58,11 +61,11 @@
 
 
 @dataclass
-class _Asked:
-    """A retry that the replica was asked for, and its answer."""
+class _Call:
+    """A question to the replica, and its answer."""
 
     done: anyio.Event = field(default_factory=anyio.Event)
-    is_granted: bool = False
+    answer: Message | None = None
 
 
 @dataclass
@@ -78,7 +81,7 @@
     identity: Identity
     updates: int = 0
     _connection: Connection | None = None
-    _asked: dict[int, _Asked] = field(default_factory=dict)
+    _calls: dict[int, _Call] = field(default_factory=dict)
     _next_call_id: int = 2
 
     def __post_init__(self):
@@ -91,6 +94,7 @@
         self._reports = CatalogReports(
             self.settings.name, self.settings.data_hall, self.state
         )
+        self.allowances = Allowances(self._ask_allowances)
 
     def use_settings(self, settings: CatalogEntrySettings) -> None:
         """Take over what may change while the process runs: the seeds."""
@@ -99,6 +103,11 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.allowances.run)
+            await self._follow_replicas()
+
+    async def _follow_replicas(self) -> None:
         while True:
             for address in self._choice.candidates(monotonic_ms()):
                 if await self._try(address):
@@ -121,29 +130,54 @@
 
     async def spend(self, service: ServiceState, *, after_failure: bool = True) -> bool:
         """Take one retry from the shared budget; False if there is none left."""
+        if self._connection is None:
+            return service.budget.spend()
+        question = TakeRetry(service.row.name, after_failure)
+        answer = await self._call(question, RETRY_TIMEOUT_S)
+        return isinstance(answer, RetryAnswer) and answer.is_granted
+
+    # Allowances.
+
+    async def _ask_allowances(
+        self, asked: AskAllowances, timeout_s: float
+    ) -> GrantAllowances | None:
+        answer = await self._call(asked, timeout_s)
+        return answer if isinstance(answer, GrantAllowances) else None
+
+    # Questions to the replica.
+
+    async def _call(self, question: Message, timeout_s: float) -> Message | None:
+        """Return the replica's answer; None without a replica or in too long a time."""
         connection = self._connection
         if connection is None:
-            return service.budget.spend()
+            return None
         call_id = self._next_call_id
         self._next_call_id += 1
-        asked = self._asked[call_id] = _Asked()
+        call = self._calls[call_id] = _Call()
         try:
-            with anyio.fail_after(RETRY_TIMEOUT_S):
-                await connection.send(
-                    TakeRetry(service.row.name, after_failure), call_id
-                )
-                await asked.done.wait()
+            with anyio.fail_after(timeout_s):
+                await connection.send(question, call_id)
+                await call.done.wait()
         except (CinderwayError, TimeoutError) as error:
-            logger.info("no retry granted: %s", str(error) or "no answer in time")
+            logger.info(
+                "no answer to %s: %s",
+                type(question).__name__,
+                str(error) or f"none within {timeout_s} s",
+            )
         finally:
-            del self._asked[call_id]
-        return asked.is_granted
+            del self._calls[call_id]
+        return call.answer
+
+    def _note_answer(self, call_id: int, answer: Message) -> None:
+        call = self._calls.get(call_id)
+        if call is not None:
+            call.answer = answer
+            call.done.set()
 
-    def _note_retry_answer(self, call_id: int, is_granted: bool) -> None:
-        asked = self._asked.get(call_id)
-        if asked is not None:
-            asked.is_granted = is_granted
-            asked.done.set()
+    def _end_calls(self) -> None:
+        """Let nobody wait for a replica that is gone."""
+        for call in self._calls.values():
+            call.done.set()
 
     # Following.
 
@@ -199,6 +233,7 @@
         for service in self.state.board.services.values():
             service.budget.empty()
         self._connection = connection
+        self.allowances.start_anew()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._reports.send_evidence, connection)
             if self._choice.is_home(address):
@@ -208,6 +243,7 @@
             except (CinderwayError, TimeoutError) as error:
                 failure = error
             self._connection = None
+            self._end_calls()
             self.state.follow_anew()
             tasks.cancel_scope.cancel()
         if failure is not None:
@@ -234,8 +270,8 @@
                 self.state.hear_fleet_loads(message, now_ms)
             case HallEntries(addresses=addresses):
                 self.state.peers = addresses
-            case RetryAnswer(is_granted=is_granted):
-                self._note_retry_answer(envelope.call_id, is_granted)
+            case RetryAnswer() | GrantAllowances():
+                self._note_answer(envelope.call_id, message)
             case VerdictBatch():
                 self.state.apply(message)
             case CatalogHeartbeat(leader_age_ms=age_ms):
--- a/src/cinderway/experiment/_entries.py
+++ b/src/cinderway/experiment/_entries.py
@@ -13,6 +13,7 @@
 from cinderway._operators import Metrics
 from cinderway.catalog import (
     CATALOG,
+    AskAllowances,
     HallEntries,
     ServerLoads,
     TakeRetry,
@@ -22,6 +23,7 @@
 from cinderway.entry._catalog_board import CatalogBoard
 from cinderway.entry.callers._attempts import Attempts
 from cinderway.entry.callers._route_handler import RouteHandler
+from cinderway.entry.fleet._allowances import Allowances
 from cinderway.entry.fleet._catalog_reports import CatalogReports
 from cinderway.entry.servers._dispatch import Dispatcher
 from cinderway.entry.servers._messages import OWN_NAMES
@@ -70,7 +72,9 @@
         attempts = Attempts(
             dispatcher, Metrics(), ANSWER_LIMIT_BYTES, pays_for_sheds=True, budget=self
         )
-        self.handler = RouteHandler(self.state, attempts, OWN_NAMES, Metrics())
+        self.handler = RouteHandler(
+            self.state, attempts, OWN_NAMES, Metrics(), Allowances(self._ask_allowances)
+        )
         self._reports = CatalogReports(self.name, self.data_hall, self.state)
 
     @property
@@ -124,6 +128,9 @@
         await anyio.sleep(2 * self._way_ms / 1000)
         return self.hall.service.take_retry(TakeRetry(service.row.name, after_failure))
 
+    async def _ask_allowances(self, asked: AskAllowances, timeout_s: float) -> None:
+        """Answer nothing: the model has no accounts."""
+
     # From the replica.
 
     def tell_news(self, frames: list[bytes]) -> None:
--- a/src/cinderway/limits/__init__.py
+++ b/src/cinderway/limits/__init__.py
@@ -1,6 +1,13 @@
 """Limits: retry budgets, bounded queues with deadlines, fairness among callers."""
 
 from cinderway.limits._admission import Admission, Admitted, Refused
+from cinderway.limits._allowance_lease import AllowanceLease
+from cinderway.limits._allowance_pool import (
+    AllowancePool,
+    AllowanceRules,
+    TokenAnswer,
+    TokenAsk,
+)
 from cinderway.limits._connect_limit import ConnectLimit
 from cinderway.limits._connections import ConnectionPlan, plan_connections
 from cinderway.limits._retry_budget import RetryBudget
@@ -9,10 +16,15 @@
 __all__ = [
     "Admission",
     "Admitted",
+    "AllowanceLease",
+    "AllowancePool",
+    "AllowanceRules",
     "ConnectLimit",
     "ConnectionPlan",
     "Refused",
     "RetryBudget",
     "RetryPool",
+    "TokenAnswer",
+    "TokenAsk",
     "plan_connections",
 ]
--- a/src/cinderway/wire/schemas/catalog.capnp
+++ b/src/cinderway/wire/schemas/catalog.capnp
@@ -19,6 +19,8 @@
     retryAnswer @13 :RetryAnswer;
     serverLoads @14 :ServerLoads;
     hallEntries @15 :HallEntries;
+    askAllowances @16 :AskAllowances;
+    grantAllowances @17 :GrantAllowances;
   }
 }
 
@@ -111,6 +113,31 @@
   addresses @0 :List(Text);
 }
 
+struct HeldAllowance {
+  account @0 :Text;
+  used @1 :UInt32;
+  held @2 :UInt32;
+  needed @3 :UInt32;
+  wanted @4 :UInt32;
+}
+
+struct AskAllowances {
+  lines @0 :List(HeldAllowance);
+  replica @1 :Text;
+}
+
+struct GrantedAllowance {
+  account @0 :Text;
+  granted @1 :UInt32;
+  roomInMs @2 :UInt32;
+}
+
+struct GrantAllowances {
+  lines @0 :List(GrantedAllowance);
+  leaseMs @1 :UInt32;
+  windowMs @2 :UInt32;
+}
+
 struct SubmitCommand {
   data @0 :Data;
 }
--- a/standins/catalog_fleet.py
+++ b/standins/catalog_fleet.py
@@ -57,7 +57,7 @@
     """A stand-in backend server that speaks the headers entries expect.
 
     `behave` is called for each request with its attempt's name and returns a status;
-    `runs` counts what was run, by attempt.
+    `runs` counts what was run, by attempt, and `headers` holds what came with it.
     """
 
     def __init__(self, server_id: str, service: str, data_hall: str = "suva"):
@@ -66,6 +66,8 @@
         self.data_hall = data_hall
         self.runs: list[str] = []
         self.deadlines_ms: list[int] = []
+        # The headers of what was run, by attempt.
+        self.headers: dict[str, str] = {}
         self.behave = lambda attempt: 200
         self.sequence = 0
         stand_in = self
@@ -121,6 +123,7 @@
             self._answer(handler, 503, attempt, b"", {"cinderway-not-run": "1"})
             return
         self.runs.append(attempt)
+        self.headers[attempt] = str(handler.headers)
         if status == "drop":
             handler.close_connection = True
             handler.connection.close()
--- /dev/null
+++ b/tests/control/test_allowances.py
@@ -0,0 +1,182 @@
+"""Shares of replicas, loans between them, and the bound over all of them."""
+
+import unittest
+
+import anyio
+from hypothesis import given, settings, strategies as st
+
+from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._ids import Address, DataHall
+from cinderway.catalog import (
+    AccountRow,
+    AnnounceReplica,
+    AskAllowances,
+    HeldAllowance,
+    RouteSheet,
+)
+from cinderway.control._allowances import LEASE_MS, Allowances, Standing
+from cinderway.limits import AllowanceLease, AllowanceRules, TokenAnswer
+
+WINDOW_MS = 5_000
+ROW = AccountRow(name="acme", rate_per_s=4, burst=10)
+LIMIT = 30
+RULES = AllowanceRules(WINDOW_MS)
+
+
+class Machine:
+    """A catalog with one account and some replicas."""
+
+    def __init__(self, addresses, row=ROW):
+        self.sheet = RouteSheet(version=1, routes=[], services=[], accounts=[row])
+        self.replicas = {
+            address: AnnounceReplica(address, DataHall("suva"), address)
+            for address in addresses
+        }
+
+
+class Calls:
+    """Calls between replicas that are answered at once, unless cut."""
+
+    def __init__(self, group):
+        self.group = group
+        self.cut = set()
+
+    async def call(self, address, message, timeout_s):
+        if address in self.cut or message.replica in self.cut:
+            raise CinderwayError(ErrorCode.PEER_UNREACHABLE, "cut", step=Step.CONNECT)
+        return self.group[address].grant(None, message, self.group.now_ms)
+
+
+class Group(dict):
+    """Replicas by address, in a time of their own."""
+
+    def __init__(self, size):
+        super().__init__()
+        self.now_ms = 0
+        self.calls = Calls(self)
+        self.addresses = [Address(f"r{number}") for number in range(size)]
+        for address in self.addresses:
+            self.start(address)
+
+    def start(self, address):
+        standing = Standing(True, len(self.addresses))
+        machine = Machine(self.addresses)
+        self[address] = Allowances(
+            address, machine, self.calls, RULES, lambda: standing
+        )
+
+    async def borrow(self, address):
+        replica = self[address]
+        short = replica._short(self.now_ms)
+        for lender in self.addresses:
+            if short and lender != address:
+                lines = [
+                    replica._line_for(lender, row, self.now_ms, 0) for row in short
+                ]
+                await replica._borrow_from(lender, lines, self.now_ms)
+
+
+def ask(**fields):
+    return AskAllowances([HeldAllowance("acme", **fields)])
+
+
+class ShareTests(unittest.TestCase):
+    def test_each_replica_hands_out_its_share_and_no_more(self):
+        group = Group(3)
+        for address in group.addresses:
+            answer = group[address].grant("e", ask(needed=30, wanted=30), 0)
+            self.assertEqual(answer.lines[0].granted, LIMIT // 3)
+
+    def test_a_replica_without_a_vote_has_no_share(self):
+        self.assertEqual(Standing(False, 5).share, 0)
+
+    def test_an_account_that_the_replica_does_not_know_yet_may_ask_again_soon(self):
+        found = Group(1)["r0"].grant(
+            "e", AskAllowances([HeldAllowance("new", needed=1)]), 0
+        )
+        self.assertEqual(found.lines[0].granted, 0)
+        self.assertLess(found.lines[0].room_in_ms, 1_000)
+
+    def test_what_one_replica_lacks_it_borrows(self):
+        group = Group(3)
+        group["r0"].grant("e", ask(needed=10, wanted=10), 0)
+        self.assertEqual(group["r0"].grant("f", ask(needed=1), 0).lines[0].granted, 0)
+        anyio.run(group.borrow, "r0")
+        found = group["r0"].grant("f", ask(needed=4, wanted=4), 0)
+        self.assertEqual(found.lines[0].granted, 4)
+
+    def test_a_request_that_waits_for_a_token_gets_one_that_others_have(self):
+        group = Group(3)
+        first = group["r0"].grant("e", ask(needed=14, wanted=14), 0)
+        self.assertEqual(first.lines[0].granted, 10)
+        asked = ask(needed=14, wanted=14)
+        whole = anyio.run(group["r0"].complete, "e", asked, first)
+        self.assertEqual(whole.lines[0].granted, 14)
+
+    def test_an_account_that_is_not_used_is_forgotten(self):
+        group = Group(1)
+        group["r0"].grant("e", ask(needed=1, wanted=1), 0)
+        self.assertEqual(group["r0"].accounts_in_use, 1)
+        group["r0"].forget_idle(LEASE_MS + WINDOW_MS + 1)
+        self.assertEqual(group["r0"].accounts_in_use, 0)
+
+
+SIZE = 3
+ENTRY = st.integers(0, SIZE - 1)
+STEPS = st.one_of(
+    st.tuples(st.just("use"), ENTRY, st.integers(1, 4)),
+    st.tuples(st.just("tell"), ENTRY, st.integers(0, 6)),
+    st.tuples(st.just("borrow"), ENTRY),
+    st.tuples(st.just("cut"), ENTRY),
+    st.tuples(st.just("mend"), ENTRY),
+    st.tuples(st.just("advance"), st.sampled_from([50, 500, 2_000, 4_500])),
+)
+
+
+class Fleet:
+    """One entry at each replica; replicas are cut from each other, entries are not."""
+
+    def __init__(self):
+        self.group = Group(SIZE)
+        self.leases = [AllowanceLease(window_ms=WINDOW_MS) for _ in range(SIZE)]
+        self.used_at_ms = []
+
+    def use(self, entry, count):
+        for _ in range(count):
+            if self.leases[entry].take(self.group.now_ms):
+                self.used_at_ms.append(self.group.now_ms)
+
+    def tell(self, entry, waiting):
+        lease, now_ms = self.leases[entry], self.group.now_ms
+        lease.waiting = waiting
+        asked = AskAllowances([HeldAllowance.of("acme", lease.begin_ask(now_ms))])
+        replica = self.group[self.group.addresses[entry]]
+        answer = replica.grant(entry, asked, now_ms)
+        line = answer.lines[0]
+        granted = TokenAnswer(line.granted, line.room_in_ms)
+        lease.end_ask(granted, now_ms, now_ms + answer.lease_ms)
+
+    def borrow(self, entry):
+        anyio.run(self.group.borrow, self.group.addresses[entry])
+
+    def cut(self, entry):
+        self.group.calls.cut.add(self.group.addresses[entry])
+
+    def mend(self, entry):
+        self.group.calls.cut.discard(self.group.addresses[entry])
+
+    def advance(self, by_ms):
+        self.group.now_ms += by_ms
+
+
+class BoundTests(unittest.TestCase):
+    @settings(max_examples=150, deadline=None)
+    @given(st.lists(STEPS, max_size=60))
+    def test_no_window_holds_more_than_the_limit_whatever_is_cut(self, steps):
+        fleet = Fleet()
+        for name, *arguments in steps:
+            getattr(fleet, name)(*arguments)
+        times_ms = fleet.used_at_ms
+        for start in times_ms:
+            inside = sum(start <= at <= start + WINDOW_MS for at in times_ms)
+            self.assertLessEqual(inside, LIMIT)
--- a/tests/entry/callers/test_route_handler.py
+++ b/tests/entry/callers/test_route_handler.py
@@ -9,11 +9,18 @@
 from cinderway._errors import ErrorCode
 from cinderway._ids import DataHall, EntryName
 from cinderway._operators import Metrics
-from cinderway.catalog import CatalogMachine, InstallSheet, encode_command
+from cinderway.catalog import (
+    CatalogMachine,
+    GrantAllowances,
+    GrantedAllowance,
+    InstallSheet,
+    encode_command,
+)
 from cinderway.entry._blackboard import Blackboard
 from cinderway.entry._catalog_board import CatalogBoard
 from cinderway.entry.callers._relay import WholeAnswer
 from cinderway.entry.callers._route_handler import RouteHandler, retry_after_s
+from cinderway.entry.fleet._allowances import Allowances
 from cinderway.entry.servers._messages import (
     HeaderNames,
 )
@@ -56,6 +63,7 @@
 
     def __init__(self, deadline_ms, between_parts=None, headers=()):
         self.statuses = []
+        self.headers = []
         self._parts = [b"first ", b"second"]
         self._between_parts = between_parts
         self._left = anyio.Event()
@@ -72,6 +80,10 @@
             ],
         }
 
+    def break_off(self):
+        self._parts = []
+        self._left.set()
+
     def leave(self):
         self._left.set()
 
@@ -89,6 +101,7 @@
     async def send(self, message):
         if message["type"] == "http.response.start":
             self.statuses.append(message["status"])
+            self.headers.append(dict(message["headers"]))
 
 
 class RouteHandlerTests(unittest.TestCase):
@@ -102,7 +115,10 @@
             self.attempts,
             HeaderNames(account=b"cinderway-account"),
             Metrics(),
+            Allowances(self.ask),
         )
+        self.asks = []
+        self.grant = None
 
     def install(self, version, service="lookup", kind="repeatable", **fields):
         known = self.machine.revision
@@ -110,6 +126,16 @@
         self.machine.apply(known + 1, encode_command(InstallSheet(body)))
         self.state.install(self.machine.update_since(known), now_ms=0)
 
+    async def ask(self, asked, timeout_s):
+        self.asks.append(asked)
+        if self.grant is None:
+            return None
+        lines = [
+            GrantedAllowance(line.account, min(self.grant, line.needed), 700)
+            for line in asked.lines
+        ]
+        return GrantAllowances(lines, lease_ms=4_000, window_ms=5_000)
+
     async def serve(self, caller):
         await self.handler(caller.scope, caller.receive, caller.send)
         return caller.statuses
@@ -181,6 +207,50 @@
         caller = Caller(40, headers=[(b"authorization", b"Bearer k3y0fAcme")])
         self.assertEqual(anyio.run(self.serve, caller), [503])
 
+    LIMITED = {"name": "acme", "keys": ["k3y0fAcme"], "rate_per_s": 1}
+    CREDENTIAL = [(b"authorization", b"Bearer k3y0fAcme")]
+
+    def test_a_request_of_a_limited_account_takes_a_token(self):
+        self.install(1, accounts=[self.LIMITED])
+        self.grant = 1
+        caller = Caller(60_000, headers=self.CREDENTIAL)
+        self.assertEqual(anyio.run(self.serve, caller), [200])
+        self.assertEqual(self.asks[0].lines[0].needed, 1)
+
+    def test_without_a_token_it_is_refused_before_its_body_comes(self):
+        self.install(1, accounts=[self.LIMITED])
+        for grant, status in ((0, 429), (None, 503)):
+            self.grant = grant
+            caller = Caller(
+                60_000,
+                between_parts=lambda: self.fail("the body was read"),
+                headers=self.CREDENTIAL,
+            )
+            self.assertEqual(anyio.run(self.serve, caller), [status])
+            # The next one may ask at once.
+            self.handler.allowances.start_anew()
+        self.assertEqual(self.attempts.services, [])
+
+    def test_a_refusal_says_when_a_token_may_come_free(self):
+        self.install(1, accounts=[self.LIMITED])
+        self.grant = 0
+        caller = Caller(60_000, headers=self.CREDENTIAL)
+        anyio.run(self.serve, caller)
+        self.assertGreaterEqual(float(caller.headers[0][b"retry-after"]), 0.5)
+
+    def test_a_caller_that_left_before_its_request_was_sent_costs_no_token(self):
+        self.install(1, accounts=[self.LIMITED])
+        self.grant = 1
+
+        async def scenario():
+            caller = Caller(60_000, headers=self.CREDENTIAL)
+            caller.break_off()
+            await self.serve(caller)
+            return await self.serve(Caller(60_000, headers=self.CREDENTIAL))
+
+        self.assertEqual(anyio.run(scenario), [200])
+        self.assertEqual(len(self.asks), 1)
+
     def test_a_caller_whose_request_was_shed_may_come_back_sooner(self):
         for spread in (0.0, 0.5, 1.0):
             shed_s = retry_after_s(ErrorCode.BACKEND_SHED, spread)
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -27,6 +27,10 @@
     "bootstrap": "true",
     "faultTolerance.machines": "2",
     "dataDir": "/data/control",
+    "bounds.quotaWindowS": "5",
+    "bounds.quotaOvershoot": "0.1",
+    # A missing value gives nothing.
+    "bounds.quotaSlack": "",
 }
 # Header names and message fields of the platform that the product must not know.
 PLATFORM_NAMES = (
--- a/tests/system/test_catalog.py
+++ b/tests/system/test_catalog.py
@@ -22,9 +22,9 @@
     }
 
 
-def sheet(version, *routes):
+def sheet(version, *routes, **fields):
     services = [{"name": name} for name in ("lookup", "submit")]
-    return {"version": version, "routes": list(routes), "services": services}
+    return {"version": version, "routes": list(routes), "services": services, **fields}
 
 
 FIRST = sheet(
@@ -143,6 +143,69 @@
             self.assertIn(part, line)
 
 
+class AccountTests(CatalogCase):
+    KEY = "k3y0fAcme"
+
+    def put_accounts(self, version, **account):
+        row = {"name": "acme", "keys": [self.KEY], **account}
+        content = sheet(version, route("look"), accounts=[row])
+        self.assertEqual(self.fleet.put_sheet(content), 200)
+        wait_for(
+            lambda: f"sheet version {version}," in self.fleet.log_of("entry-0"),
+            "the sheet in force",
+        )
+
+    def ask_as(self, key, attempt, **headers):
+        credential = f"Bearer {key}"
+        return self.ask("/look/x", attempt, authorization=credential, **headers)
+
+    def headers_at_server(self, attempt):
+        seen = [
+            s.headers[attempt] for s in self.servers.values() if attempt in s.headers
+        ]
+        return seen[0].lower()
+
+    def test_servers_get_an_accounts_name_and_nobody_its_key(self):
+        self.put_accounts(2)
+        answer = self.ask_as(self.KEY, "k1", cinderway_account="other", x_key=self.KEY)
+        self.assertEqual(answer.status, 200)
+        seen = self.headers_at_server("k1")
+        self.assertIn("cinderway-account: acme", seen)
+        for secret in ("other", self.KEY.lower(), "authorization"):
+            self.assertNotIn(secret, seen)
+        self.assertEqual(self.ask_as(self.KEY + "x", "k2").status, 401)
+        self.assertEqual(self.ask("/look/x", "k3").status, 401)
+        for log in self.fleet.path.glob("*.log"):
+            self.assertNotIn(self.KEY, log.read_text(), log.name)
+        self.assertEqual(self.runs("k2") + self.runs("k3"), 0)
+
+    def test_a_key_that_was_taken_away_is_refused(self):
+        self.put_accounts(2)
+        self.assertEqual(self.ask_as(self.KEY, "t1").status, 200)
+        self.put_accounts(3, keys=["another1"])
+        self.assertEqual(self.ask_as(self.KEY, "t2").status, 401)
+        self.assertEqual(self.ask_as("another1", "t3").status, 200)
+
+    def test_beyond_its_allowance_an_account_is_told_when_to_come_back(self):
+        # Eleven in any five seconds, by the default window.
+        self.put_accounts(2, rate_per_s=1, burst=6)
+        answers = [self.ask_as(self.KEY, f"q{number}") for number in range(14)]
+        statuses = [answer.status for answer in answers]
+        # A replica's own share, and what two others lend in time.
+        self.assertEqual(statuses[:3], [200] * 3)
+        self.assertLessEqual(statuses.count(200), 11)
+        self.assertEqual(set(statuses), {200, 429})
+        for number, answer in enumerate(answers):
+            is_refused = answer.status == 429
+            self.assertEqual("retry-after" in answer.headers, is_refused)
+            self.assertEqual(self.runs(f"q{number}"), 0 if is_refused else 1)
+
+    def test_an_account_that_was_refused_is_served_later(self):
+        self.put_accounts(2, rate_per_s=1, burst=6)
+        wait_for(lambda: self.ask_as(self.KEY, "l1").status == 429, "a refusal")
+        wait_for(lambda: self.ask_as(self.KEY, "l2").status == 200, "room again")
+
+
 class ChangeTests(CatalogCase):
     def test_a_new_sheet_is_in_force_and_an_older_one_changes_nothing(self):
         self.fleet.put_sheet(sheet(5, route("new")))
