--- a/src/cinderway/_cli/_main.py
+++ b/src/cinderway/_cli/_main.py
@@ -6,6 +6,7 @@
 import typer
 
 from cinderway import __version__
+from cinderway._cli._accounts import accounts
 from cinderway._cli._claims import claims
 from cinderway._cli._experiment import experiment
 from cinderway._cli._options import exit_on_error, with_settings
@@ -30,6 +31,7 @@
 app.add_typer(claims, name="claims")
 app.add_typer(report, name="report")
 app.command()(experiment)
+app.command()(accounts)
 
 Folder = Annotated[Path, typer.Option(help="The new replica's data folder.")]
 Listen = Annotated[str, typer.Option(help="The new replica's IP-number:port.")]
--- a/src/cinderway/catalog/__init__.py
+++ b/src/cinderway/catalog/__init__.py
@@ -4,7 +4,12 @@
 servers announce themselves by heartbeats. Control replicates both; entries follow.
 """
 
-from cinderway.catalog._accounts import AccountIndex, AccountRow
+from cinderway.catalog._accounts import (
+    ACCOUNTS_PATH,
+    AccountIndex,
+    AccountRow,
+    AccountUse,
+)
 from cinderway.catalog._commands import (
     AnnounceReplica,
     Command,
@@ -60,10 +65,12 @@
 )
 
 __all__ = [
+    "ACCOUNTS_PATH",
     "CATALOG",
     "NO_LOAD",
     "AccountIndex",
     "AccountRow",
+    "AccountUse",
     "AnnounceReplica",
     "AskAllowances",
     "CallerLimits",
--- a/src/cinderway/catalog/_accounts.py
+++ b/src/cinderway/catalog/_accounts.py
@@ -16,6 +16,8 @@
 
 # A digest of this length is not guessed, and two keys do not share one by chance.
 DIGEST_BYTES = 16
+# Where control lists accounts and their use, over HTTP.
+ACCOUNTS_PATH = "/v1/accounts"
 
 
 class AccountRow(msgspec.Struct, frozen=True, kw_only=True):
@@ -42,6 +44,23 @@
         return f"AccountRow({self.name!r}, {len(self.keys)} keys)"
 
 
+class AccountUse(msgspec.Struct, frozen=True):
+    """One account as a replica shows it to operators: without its keys.
+
+    `charged` tokens are held or were used within a window, of the `share` that this
+    replica hands out and of `borrowed` ones.
+    """
+
+    name: AccountName
+    key_count: int
+    priority: int | None
+    rate_per_s: float | None
+    burst: float | None
+    charged: int
+    share: float | None
+    borrowed: int
+
+
 class AccountIndex:
     """Finds the account that holds a key.
 
--- a/src/cinderway/control/_allowances.py
+++ b/src/cinderway/control/_allowances.py
@@ -19,6 +19,7 @@
 from cinderway._ids import AccountName, Address
 from cinderway.catalog import (
     AccountRow,
+    AccountUse,
     AskAllowances,
     CatalogMachine,
     GrantAllowances,
@@ -196,6 +197,25 @@
         """Accounts of which tokens are held or were used lately."""
         return len(self._accounts)
 
+    def uses(self, now_ms: int) -> list[AccountUse]:
+        """Return all accounts of the sheet, in its order, with their use here."""
+        sheet = self.machine.sheet
+        rows = sheet.accounts or [] if sheet is not None else []
+        return [self._use_of(row, now_ms) for row in rows]
+
+    def _use_of(self, row: AccountRow, now_ms: int) -> AccountUse:
+        state = self._accounts.get(row.name)
+        return AccountUse(
+            row.name,
+            len(row.keys),
+            row.priority,
+            row.rate_per_s,
+            row.burst,
+            self.charged(row.name, now_ms),
+            self._share_of(row) if row.is_limited else None,
+            state.borrowed(now_ms) if state is not None else 0,
+        )
+
     def charged(self, name: AccountName, now_ms: int) -> int:
         """Return how many of an account's tokens count against its share here."""
         state = self._accounts.get(name)
--- a/src/cinderway/control/_catalog_http.py
+++ b/src/cinderway/control/_catalog_http.py
@@ -4,6 +4,7 @@
     GET    /v1/sheet         the newest sheet, by the leader only; others redirect
     PUT    /v1/servers/ID    a backend server's heartbeat
     DELETE /v1/servers/ID    a backend server leaves for good
+    GET    /v1/accounts      client accounts and their use by this replica's entries
 
 An answer of 4xx is final; after 503 the call may be repeated here or elsewhere.
 """
@@ -18,6 +19,7 @@
 from cinderway._http_body import whole_body
 from cinderway._ids import Address, DataHall, ServerName, ServiceName
 from cinderway.catalog import (
+    ACCOUNTS_PATH,
     Deregister,
     InstallSheet,
     Register,
@@ -106,6 +108,8 @@
                 return await self._put_sheet(receive)
             case ("GET", path) if path == SHEET_PATH:
                 return await self._get_sheet()
+            case ("GET", path) if path == ACCOUNTS_PATH:
+                return self._list_accounts()
             case ("PUT", path) if path.startswith(SERVERS_PREFIX):
                 server_id = ServerName(path.removeprefix(SERVERS_PREFIX))
                 return await self._put_server(server_id, receive)
@@ -137,6 +141,10 @@
             )
         return Answer(OK, self.service.machine.sheet_body)
 
+    def _list_accounts(self) -> Answer:
+        found = self.service.allowances.uses(monotonic_ms())
+        return Answer(OK, msgspec.json.encode(found))
+
     def _redirect(self) -> Answer:
         leader = self.service.machine.replicas.get(self.service.node.leader_address)
         if leader is None:
--- a/tests/system/test_catalog.py
+++ b/tests/system/test_catalog.py
@@ -2,8 +2,11 @@
 
 import json
 import signal
+import subprocess
+import sys
 import threading
 import unittest
+from pathlib import Path
 
 from standins.catalog_fleet import CatalogFleet, RegisteredServer, call, wait_for
 
@@ -179,6 +182,15 @@
             self.assertNotIn(self.KEY, log.read_text(), log.name)
         self.assertEqual(self.runs("k2") + self.runs("k3"), 0)
 
+    def test_operators_see_accounts_and_their_use_without_keys(self):
+        self.put_accounts(2, rate_per_s=10)
+        self.assertEqual(self.ask_as(self.KEY, "u1").status, 200)
+        program = Path(sys.executable).with_name("cinderway")
+        command = [program, "accounts", *self.fleet.controls]
+        shown = subprocess.run(command, capture_output=True, text=True, check=True)
+        self.assertIn("acme\t1\t-\t10.0\t-\t", shown.stdout)
+        self.assertNotIn(self.KEY, shown.stdout)
+
     def test_a_key_that_was_taken_away_is_refused(self):
         self.put_accounts(2)
         self.assertEqual(self.ask_as(self.KEY, "t1").status, 200)
