--- a/bench/allowances.py
+++ b/bench/allowances.py
@@ -26,7 +26,8 @@
     RouteSheet,
 )
 from cinderway.control import _allowances
-from cinderway.control._allowances import Allowances, Standing
+from cinderway.control._account_tokens import Standing
+from cinderway.control._allowances import Allowances
 from cinderway.limits import AllowanceLease, AllowanceRules, TokenAnswer
 
 ENTRIES = 113
--- a/src/cinderway/control/_allowances.py
+++ b/src/cinderway/control/_allowances.py
@@ -27,6 +27,13 @@
     HeldAllowance,
     RouteSheet,
 )
+from cinderway.control._account_tokens import (
+    REBORROW_MS,
+    URGE_PAUSE_MS,
+    AccountTokens,
+    Loan,
+    Standing,
+)
 from cinderway.control._commands import ReplicaCalls
 from cinderway.limits import AllowancePool, AllowanceRules, TokenAnswer, TokenAsk
 
@@ -47,62 +54,10 @@
 # until none has a token left, and 13.7% of the requests were refused at 0.85 of a rate
 # of 4/s in place of none (`python -m bench allowances --callers 0.1`).
 SPARE_SHARE = 0.2
-# Between two asks of others for one account that no request waits for. With one each
-# quarter of a second an account of 60 requests a second cost 6.1 messages a request in
-# place of 2.2 (`python -m bench allowances`, half of its rate).
-REBORROW_MS = 1_500
 # Loans that end sooner are renewed: two looks, and one that fails.
 RENEW_MS = 2_000
 # How soon an entry may ask again for an account that this replica does not know yet.
 UNKNOWN_ROOM_MS = 100
-# How long others are not asked again after they had too little: an account that has
-# spent all of its allowance must not keep the replicas busy.
-URGE_PAUSE_MS = 200
-
-
-@dataclass(frozen=True)
-class Standing:
-    """This replica's place in the group: its share is one of `voters`, or nothing."""
-
-    is_voter: bool
-    voters: int
-
-    @property
-    def share(self) -> float:
-        """The part of each account's limit that this replica hands out."""
-        return 1 / self.voters if self.is_voter and self.voters else 0.0
-
-
-@dataclass
-class _Loan:
-    """Tokens that another replica lent, and until when they may be handed out."""
-
-    tokens: int = 0
-    usable_until_ms: int = 0
-
-
-@dataclass
-class _AccountState:
-    """One account's tokens here: its pool, and what others lent to it."""
-
-    pool: AllowancePool
-    loans: dict[Address, _Loan] = field(default_factory=dict)
-    borrowers: set[Address] = field(default_factory=set)
-    # When others last had too few tokens for the requests that waited.
-    denied_at_ms: int = -URGE_PAUSE_MS
-    # When others were last asked.
-    borrowed_at_ms: int = -REBORROW_MS
-
-    def needed(self, now_ms: int) -> int:
-        """Return the tokens that count against the own share, without loans."""
-        held = self.pool.held_by
-        lent = sum(held(borrower, now_ms) for borrower in self.borrowers)
-        return self.pool.charged(now_ms) - lent
-
-    def borrowed(self, now_ms: int) -> int:
-        """Return the tokens that others lent and that may be handed out."""
-        loans = self.loans.values()
-        return sum(loan.tokens for loan in loans if now_ms < loan.usable_until_ms)
 
 
 @dataclass
@@ -114,7 +69,7 @@
     calls: ReplicaCalls
     rules: AllowanceRules
     standing: Callable[[], Standing]
-    _accounts: dict[AccountName, _AccountState] = field(default_factory=dict)
+    _accounts: dict[AccountName, AccountTokens] = field(default_factory=dict)
     _rows: dict[AccountName, AccountRow] = field(default_factory=dict)
     _rows_of: RouteSheet | None = None
 
@@ -256,10 +211,10 @@
             )
         return answer
 
-    def _state_of(self, name: AccountName) -> _AccountState:
+    def _state_of(self, name: AccountName) -> AccountTokens:
         state = self._accounts.get(name)
         if state is None:
-            state = _AccountState(AllowancePool(self.rules.window_ms))
+            state = AccountTokens(AllowancePool(self.rules.window_ms))
             self._accounts[name] = state
         return state
 
@@ -339,7 +294,7 @@
         self, lender: Address, row: AccountRow, now_ms: int, needed: int
     ) -> HeldAllowance:
         state = self._state_of(row.name)
-        loan = state.loans.get(lender, _Loan())
+        loan = state.loans.get(lender, Loan())
         held = loan.tokens if now_ms < loan.usable_until_ms else 0
         have = self._share_of(row) + state.borrowed(now_ms)
         lacking = state.needed(now_ms) / (1 - SPARE_SHARE) - have
@@ -350,7 +305,7 @@
     def _note_loan(
         self, lender: Address, line: GrantedAllowance, asked_at_ms: int
     ) -> None:
-        loan = self._state_of(line.account).loans.setdefault(lender, _Loan())
+        loan = self._state_of(line.account).loans.setdefault(lender, Loan())
         held = loan.tokens if asked_at_ms < loan.usable_until_ms else 0
         loan.tokens = held + line.granted
         loan.usable_until_ms = asked_at_ms + LOAN_USE_MS
--- a/src/cinderway/control/_catalog_daemon.py
+++ b/src/cinderway/control/_catalog_daemon.py
@@ -19,7 +19,8 @@
 from cinderway._settings import CatalogControlSettings
 from cinderway._settings_watch import SettingsWatch
 from cinderway.catalog import AnnounceReplica, CatalogMachine
-from cinderway.control._allowances import Allowances, Standing
+from cinderway.control._account_tokens import Standing
+from cinderway.control._allowances import Allowances
 from cinderway.control._catalog_http import CatalogHttp
 from cinderway.control._catalog_service import CatalogService
 from cinderway.control._commands import Commands, ReplicaCalls
--- a/src/cinderway/entry/fleet/_catalog_follower.py
+++ b/src/cinderway/entry/fleet/_catalog_follower.py
@@ -34,12 +34,13 @@
 from cinderway.entry._catalog_board import CatalogBoard
 from cinderway.entry.fleet._allowances import Allowances
 from cinderway.entry.fleet._catalog_reports import CatalogReports
+from cinderway.entry.fleet._questions import Questions
 from cinderway.entry.fleet._replica_choice import (
     AVOID_MS,
     LEADERLESS_AVOID_MS,
     ReplicaChoice,
 )
-from cinderway.wire import Connection, Envelope, Identity, Message, connect
+from cinderway.wire import Connection, Envelope, Identity, connect
 
 logger = logging.getLogger(__name__)
 
@@ -60,14 +61,6 @@
 NO_VERDICTS = VerdictBatch([], [])
 
 
-@dataclass
-class _Call:
-    """A question to the replica, and its answer."""
-
-    done: anyio.Event = field(default_factory=anyio.Event)
-    answer: Message | None = None
-
-
 @dataclass
 class CatalogFollower:
     """Keeps an entry's copy of the catalog up to date.
@@ -81,8 +74,7 @@
     identity: Identity
     updates: int = 0
     _connection: Connection | None = None
-    _calls: dict[int, _Call] = field(default_factory=dict)
-    _next_call_id: int = 2
+    _questions: Questions = field(default_factory=Questions)
 
     def __post_init__(self):
         self._choice = ReplicaChoice(
@@ -133,7 +125,7 @@
         if self._connection is None:
             return service.budget.spend()
         question = TakeRetry(service.row.name, after_failure)
-        answer = await self._call(question, RETRY_TIMEOUT_S)
+        answer = await self._questions.ask(question, RETRY_TIMEOUT_S)
         return isinstance(answer, RetryAnswer) and answer.is_granted
 
     # Allowances.
@@ -141,44 +133,9 @@
     async def _ask_allowances(
         self, asked: AskAllowances, timeout_s: float
     ) -> GrantAllowances | None:
-        answer = await self._call(asked, timeout_s)
+        answer = await self._questions.ask(asked, timeout_s)
         return answer if isinstance(answer, GrantAllowances) else None
 
-    # Questions to the replica.
-
-    async def _call(self, question: Message, timeout_s: float) -> Message | None:
-        """Return the replica's answer; None without a replica or in too long a time."""
-        connection = self._connection
-        if connection is None:
-            return None
-        call_id = self._next_call_id
-        self._next_call_id += 1
-        call = self._calls[call_id] = _Call()
-        try:
-            with anyio.fail_after(timeout_s):
-                await connection.send(question, call_id)
-                await call.done.wait()
-        except (CinderwayError, TimeoutError) as error:
-            logger.info(
-                "no answer to %s: %s",
-                type(question).__name__,
-                str(error) or f"none within {timeout_s} s",
-            )
-        finally:
-            del self._calls[call_id]
-        return call.answer
-
-    def _note_answer(self, call_id: int, answer: Message) -> None:
-        call = self._calls.get(call_id)
-        if call is not None:
-            call.answer = answer
-            call.done.set()
-
-    def _end_calls(self) -> None:
-        """Let nobody wait for a replica that is gone."""
-        for call in self._calls.values():
-            call.done.set()
-
     # Following.
 
     async def _try(self, address: Address) -> bool:
@@ -233,6 +190,7 @@
         for service in self.state.board.services.values():
             service.budget.empty()
         self._connection = connection
+        self._questions.connect(connection)
         self.allowances.start_anew()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._reports.send_evidence, connection)
@@ -243,7 +201,7 @@
             except (CinderwayError, TimeoutError) as error:
                 failure = error
             self._connection = None
-            self._end_calls()
+            self._questions.disconnect()
             self.state.follow_anew()
             tasks.cancel_scope.cancel()
         if failure is not None:
@@ -271,7 +229,7 @@
             case HallEntries(addresses=addresses):
                 self.state.peers = addresses
             case RetryAnswer() | GrantAllowances():
-                self._note_answer(envelope.call_id, message)
+                self._questions.take_answer(envelope.call_id, message)
             case VerdictBatch():
                 self.state.apply(message)
             case CatalogHeartbeat(leader_age_ms=age_ms):
--- a/tests/control/test_allowances.py
+++ b/tests/control/test_allowances.py
@@ -14,7 +14,8 @@
     HeldAllowance,
     RouteSheet,
 )
-from cinderway.control._allowances import LEASE_MS, Allowances, Standing
+from cinderway.control._account_tokens import Standing
+from cinderway.control._allowances import LEASE_MS, Allowances
 from cinderway.limits import AllowanceLease, AllowanceRules, TokenAnswer
 
 WINDOW_MS = 5_000
