accounts: only a request that took a token gives one back

Cause: found by reading: every request that was refused or never sent gave a token back, also when it had taken none, so that uses of other requests were no longer counted; an account at its limit could send more for each refusal. Change: a permit knows the account that it has taken a token of. A key that moves to another account while the body comes is paid for by the new one. Before: the two new tests fail (a refused request leaves a token behind). After: both pass.

--- a/src/cinderway/entry/callers/_permits.py
+++ b/src/cinderway/entry/callers/_permits.py
@@ -15,54 +15,56 @@
 class AccountPermit(Permit):
     """Leave by the account that a request's key belongs to.
 
-    `identity` is what the key said last; it is looked up again at each question, so
-    that one taken away while the request waits sends nothing more.
+    `identity` is what the key said when the request was looked at last.
     """
 
     state: CatalogBoard
     allowances: Allowances
-    route: RouteRow
     headers: Headers
     identity: Identity = ANONYMOUS
+    _route: RouteRow | None = None
+    # The account that the request has taken a token of.
+    _paid: AccountRow | None = None
 
-    def identify(self, route: RouteRow) -> None:
-        """Look the key up. Raises CinderwayError with ACCOUNT_UNKNOWN."""
-        self.route = route
+    async def take(self, route: RouteRow) -> None:
+        """Look the key up for a route, and take a token unless one is there.
+
+        Raises CinderwayError with ACCOUNT_UNKNOWN, and AllowanceError.
+        """
+        self._route = route
         self.identity = identify(self.state.accounts, route, self.headers)
+        account = self.identity.account
+        if self._paid is not None and (
+            account is None or account.name != self._paid.name
+        ):
+            self.give_back()
+        if account is not None and self._paid is None:
+            await self.allowances.take(account)
+            self._paid = account
 
     @property
     def holds(self) -> bool:
         """Whether the key still is the same account's."""
-        known = self.identity.account_name
         try:
-            self.identify(self.route)
+            known = identify(self.state.accounts, self._route, self.headers)
         except CinderwayError:
             return False
-        return self.identity.account_name == known
-
-    async def take(self) -> None:
-        """Pay for the first server. Raises AllowanceError."""
-        account = self._account
-        if account is not None:
-            await self.allowances.take(account)
+        return known.account_name == self.identity.account_name
 
     async def renew(self) -> bool:
         """Say whether one that may have run can be sent once more, and pay for it."""
         if not self.holds:
             return False
         try:
-            await self.take()
+            if self.identity.account is not None:
+                await self.allowances.take(self.identity.account)
         except AllowanceError:
             # Counted as a refusal; what the first server says goes to the caller.
             return False
         return True
 
     def give_back(self) -> None:
-        """Return what was paid: no server got the request."""
-        account = self._account
-        if account is not None:
-            self.allowances.give_back(account)
-
-    @property
-    def _account(self) -> AccountRow | None:
-        return self.identity.account
+        """Return the token of a request that no server got, if it took one."""
+        paid, self._paid = self._paid, None
+        if paid is not None:
+            self.allowances.give_back(paid)
--- a/src/cinderway/entry/callers/_route_handler.py
+++ b/src/cinderway/entry/callers/_route_handler.py
@@ -106,15 +106,14 @@
         await self._wait_for_sheet(scope, served.started_at_ms)
         served.route = route = self._route_of(scope)
         # Before the body: whoever may not send it need not.
-        permit = AccountPermit(self.state, self.allowances, route, scope["headers"])
+        permit = AccountPermit(self.state, self.allowances, scope["headers"])
         served.permit = permit
-        permit.identify(route)
+        await permit.take(route)
         deadline_ms = self._deadline_of(scope, route, served.started_at_ms)
-        await permit.take()
         body = await self._body_by(deadline_ms, receive)
         # Another sheet may have come in the meantime: its services and keys count.
         served.route = route = self._route_of(scope)
-        permit.identify(route)
+        await permit.take(route)
         served.service = pick_service(route, self.state.board.rng)
         served.request = self._request_of(scope, route, served, deadline_ms, body)
         await self._attempt(route, served.service, served.request, receive, reply)
--- a/tests/entry/callers/test_route_handler.py
+++ b/tests/entry/callers/test_route_handler.py
@@ -55,6 +55,7 @@
     async def whole_answer(self, service, request, is_repeatable):
         self.services.append(service.row.name)
         self.requests.append(request)
+        request.tried.add("i-1")
         return WholeAnswer(200, [], b"done")
 
 
@@ -238,6 +239,33 @@
         anyio.run(self.serve, caller)
         self.assertGreaterEqual(float(caller.headers[0][b"retry-after"]), 0.5)
 
+    def test_a_request_that_was_refused_gives_no_token_back(self):
+        self.install(1, accounts=[self.LIMITED])
+
+        async def scenario():
+            self.grant = 1
+            served = await self.serve(Caller(60_000, headers=self.CREDENTIAL))
+            self.grant = 0
+            refused = await self.serve(Caller(60_000, headers=self.CREDENTIAL))
+            return served + refused
+
+        self.assertEqual(anyio.run(scenario), [200, 429])
+        self.assertEqual(self.handler.allowances.held, 0)
+
+    def test_a_key_that_moves_while_the_body_comes_is_paid_for_by_its_new_account(self):
+        self.install(1, accounts=[self.LIMITED])
+        self.grant = 1
+        moved = [{**self.LIMITED, "name": "other"}]
+        caller = Caller(
+            60_000,
+            between_parts=lambda: self.install(2, accounts=moved),
+            headers=self.CREDENTIAL,
+        )
+        self.assertEqual(anyio.run(self.serve, caller), [200])
+        asked = [line.account for ask in self.asks for line in ask.lines]
+        self.assertEqual(asked, ["acme", "other"])
+        self.assertEqual(self.handler.allowances.held, 1)
+
     def test_a_caller_that_left_before_its_request_was_sent_costs_no_token(self):
         self.install(1, accounts=[self.LIMITED])
         self.grant = 1
