entry: put together what is known of drawn servers only; verdicts touch servers they name

A profile of the experiment: 104 candidates were built for each choice, 5.5 of 41.8 s; verdicts walked all servers. Change: draw first, then build; subsets that are the whole service are not hashed; loads are looked up once; verdicts touch the servers they name or named.

--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -55,6 +55,8 @@
     loads_changed: anyio.Event = field(default_factory=anyio.Event)
     # Where the hall's entries hear each other while control is away.
     peers: list[Address] = field(default_factory=list)
+    # Servers that the last verdicts named: all others are plainly healthy.
+    _judged: set[ServerName] = field(default_factory=set)
     _new_suspects: dict[ServerName, int] = field(default_factory=dict)
     # Servers of which the hall is to be told, in the order in which they changed.
     _changed_loads: dict[ServerName, None] = field(default_factory=dict)
@@ -169,11 +171,13 @@
 
     def hear_fleet_loads(self, message: ServerLoads, now_ms: int) -> None:
         """Take over what the replica knows: also what the fleet has in flight."""
-        self.hear_loads(message, now_ms)
         for told in message.servers:
             server = self._state_of(told.server)
-            if server is not None:
-                server.fleet_in_flight = max(told.in_flight, server.in_flight)
+            if server is None:
+                continue
+            if told.load != NO_LOAD:
+                server.note_load(told.load, now_ms)
+            server.fleet_in_flight = max(told.in_flight, server.in_flight)
 
     def install(self, update: CatalogUpdate, now_ms: int) -> bool:
         """Put an update in force; False if it is not newer than what is."""
@@ -204,11 +208,14 @@
                 pace.service, Pace(pace.usual_ms, pace.slow_ms, pace.late_ms)
             )
         lines = {line.server: line for line in verdicts.lines}
-        for service in self.board.services.values():
-            for name, server in service.servers.items():
+        for name in self._judged | lines.keys():
+            server = self._state_of(name)
+            if server is not None:
                 line = lines.get(name)
                 server.is_ejected = bool(line and line.is_ejected)
                 server.share = line.share if line and line.share else FULL_SHARE
+        self._judged = set(lines)
+        for service in self.board.services.values():
             service.free_slot()
 
     def _refresh(self, now_ms: int) -> None:
--- a/src/cinderway/entry/servers/_candidates.py
+++ b/src/cinderway/entry/servers/_candidates.py
@@ -1,25 +1,41 @@
 """The servers that a request may go to now, with what is known of their load."""
 
+import random
+from collections.abc import Collection
+
+from cinderway._ids import DataHall, ServerName
 from cinderway.entry._blackboard import ServerState
 from cinderway.judgement import suspicion_left
-from cinderway.routing import Candidate
+from cinderway.routing import Candidate, draw_few
 
 # A server that has just started takes about twice as long for each request.
 COLD_SHARE = 0.5
 
 
 def free_candidates(
-    subset: list[tuple[ServerState, int]], now_ms: int
+    subset: list[tuple[ServerState, int]],
+    own_hall: DataHall,
+    rng: random.Random,
+    exclude: Collection[ServerName],
+    now_ms: int,
 ) -> list[Candidate]:
-    """Return the servers that are below their limit of requests and not paused.
+    """Return a few servers that are below their limit of requests and not paused.
 
-    `subset` holds each server with how many requests it may get from this entry.
+    `subset` holds each server with how many requests it may get from this entry. What
+    is known of a server is put together for those alone that are drawn: with 130 servers
+    that was a sixth of an entry's processor time (profile of an experiment).
     """
-    return [
-        _candidate(server, now_ms)
+    free = [
+        server
         for server, limit in subset
-        if server.in_flight < limit and server.pause_until_ms <= now_ms
+        if server.in_flight < limit
+        and server.pause_until_ms <= now_ms
+        and server.row.name not in exclude
     ]
+    own = [server for server in free if server.row.data_hall == own_hall]
+    others = [server for server in free if server.row.data_hall != own_hall]
+    drawn = draw_few(own, rng) + draw_few(others, rng)
+    return [_candidate(server, now_ms) for server in drawn]
 
 
 def _candidate(server: ServerState, now_ms: int) -> Candidate:
--- a/src/cinderway/entry/servers/_dispatch.py
+++ b/src/cinderway/entry/servers/_dispatch.py
@@ -293,12 +293,11 @@
     ) -> Candidate | None:
         subset = self._subset(usable_servers(service))
         own_hall, rng = self.board.data_hall, self.board.rng
-        candidates = free_candidates(subset, now_ms)
-        chosen = choose(candidates, own_hall, rng, exclude, penalties)
-        if chosen is None and exclude:
+        candidates = free_candidates(subset, own_hall, rng, exclude, now_ms)
+        if not candidates and exclude:
             # Every other server was tried already: a second try beats none.
-            chosen = choose(candidates, own_hall, rng, penalties=penalties)
-        return chosen
+            candidates = free_candidates(subset, own_hall, rng, (), now_ms)
+        return choose(candidates, own_hall, rng, penalties=penalties)
 
     def _check_queue(
         self,
@@ -331,6 +330,10 @@
         limit = min(server.row.connection_limit for server in usable)
         plan = plan_connections(limit, self.board.entry_count, len(usable))
         self.connections.idle_limit = plan.per_entry
+        if plan.subset_size >= len(usable):
+            return [
+                (server, min(server.row.slots, plan.per_entry)) for server in usable
+            ]
         names = {server.row.name for server in usable}
         chosen = own_subset(self.board.name, names, plan.subset_size)
         return [
--- a/src/cinderway/routing/__init__.py
+++ b/src/cinderway/routing/__init__.py
@@ -5,6 +5,7 @@
     Candidate,
     Penalties,
     choose,
+    draw_few,
     own_subset,
     rank_of,
 )
@@ -19,6 +20,7 @@
     "RouteMatch",
     "RouteTable",
     "choose",
+    "draw_few",
     "faded_load",
     "own_subset",
     "rank_of",
--- a/src/cinderway/routing/_choose.py
+++ b/src/cinderway/routing/_choose.py
@@ -3,11 +3,14 @@
 import random
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
+from typing import TypeVar
 
 import xxhash
 
 from cinderway._ids import DataHall, EntryName, ServerName
 
+T = TypeVar("T")
+
 # The way to another hall costs more than a small difference in load.
 OTHER_HALL_PENALTY = 0.25
 FULL_WEIGHT = 100
@@ -102,13 +105,14 @@
     allowed = [c for c in candidates if c.name not in exclude]
     own = [c for c in allowed if c.data_hall == own_hall]
     others = [c for c in allowed if c.data_hall != own_hall]
-    return _few(own, rng) + _few(others, rng)
+    return draw_few(own, rng) + draw_few(others, rng)
 
 
-def _few(candidates: list[Candidate], rng: random.Random) -> list[Candidate]:
-    if len(candidates) <= SAMPLE_SIZE:
-        return candidates
-    return rng.sample(candidates, SAMPLE_SIZE)
+def draw_few(servers: list[T], rng: random.Random) -> list[T]:
+    """Return as many servers, drawn at random, as are compared; all if they are few."""
+    if len(servers) <= SAMPLE_SIZE:
+        return servers
+    return rng.sample(servers, SAMPLE_SIZE)
 
 
 def _score(candidate: Candidate, penalty: float) -> float:
--- a/tests/entry/test_catalog_board.py
+++ b/tests/entry/test_catalog_board.py
@@ -69,7 +69,7 @@
         # A fresh look each time: nothing is noted as sent.
         return self.dispatcher._free_server(
             service, set(), monotonic_ms(), penalties
-        ).row.name
+        ).name
 
     def test_what_another_entry_knows_decides_where_this_one_sends(self):
         self.hear(a=1.5, b=0.5)
