allowances: loans are asked for one at a time at each replica

Cause: found by reading: an ask says what is held, and that replaces what the lender counts; two asks that overlap said the same, and the lender forgot what one had brought. A sheet that loses an account while loans are waited for ended the entry's connection. Change: a lock for each lender; rows are looked up when they are needed.

--- a/src/cinderway/control/_allowances.py
+++ b/src/cinderway/control/_allowances.py
@@ -36,6 +36,7 @@
 )
 from cinderway.control._commands import ReplicaCalls
 from cinderway.limits import AllowancePool, AllowanceRules, TokenAnswer, TokenAsk
+from cinderway.wire import Message
 
 logger = logging.getLogger(__name__)
 
@@ -75,6 +76,8 @@
     _rows: dict[AccountName, AccountRow] = field(default_factory=dict)
     _rows_of: RouteSheet | None = None
     _unreached_at_ms: dict[Address, int] = field(default_factory=dict)
+    # Held while a replica is being asked.
+    _asking: dict[Address, anyio.Lock] = field(default_factory=dict)
 
     @property
     def loan_ms(self) -> int:
@@ -108,9 +111,10 @@
         Within the allowance nobody is to be refused because of how it is shared out.
         """
         missing = self._missing(asked, first, monotonic_ms())
-        if not missing:
+        rows = [row for row in map(self._row_of, missing) if row is not None]
+        if not rows:
             return first
-        await self._borrow([self._rows[name] for name in missing], missing)
+        await self._borrow(rows, missing)
         now_ms = monotonic_ms()
         lines = [
             self._topped_up(holder, line, missing.get(line.account, 0), now_ms)
@@ -277,28 +281,38 @@
         async with anyio.create_task_group() as tasks:
             for lender in lenders:
                 part = {n: -(-count // len(lenders)) for n, count in missing.items()}
-                lines = [
-                    self._line_for(lender, row, now_ms, part.get(row.name, 0))
-                    for row in rows
-                ]
-                tasks.start_soon(self._borrow_from, lender, lines, now_ms)
+                tasks.start_soon(self._borrow_from, lender, rows, part)
 
     def _is_reached(self, replica: Address, now_ms: int) -> bool:
         lost_at_ms = self._unreached_at_ms.get(replica)
         return lost_at_ms is None or now_ms - lost_at_ms >= LOST_MS
 
     async def _borrow_from(
-        self, lender: Address, lines: list[HeldAllowance], asked_at_ms: int
+        self,
+        lender: Address,
+        rows: list[AccountRow],
+        missing: Mapping[AccountName, int],
     ) -> None:
-        try:
-            answer = await self.calls.call(
-                lender, AskAllowances(lines, self.own), BORROW_TIMEOUT_S
-            )
-        except CinderwayError as error:
-            self._unreached_at_ms[lender] = asked_at_ms
-            logger.debug("nothing borrowed: %s", error)
-            return
-        self._unreached_at_ms.pop(lender, None)
+        # One ask at a time: each says what is held, and that replaces what the lender
+        # counts. Of two that overlap the lender would forget what one has brought.
+        async with self._asking.setdefault(lender, anyio.Lock()):
+            asked_at_ms = monotonic_ms()
+            lines = [
+                self._line_for(lender, row, asked_at_ms, missing.get(row.name, 0))
+                for row in rows
+            ]
+            try:
+                answer = await self.calls.call(
+                    lender, AskAllowances(lines, self.own), BORROW_TIMEOUT_S
+                )
+            except CinderwayError as error:
+                self._unreached_at_ms[lender] = asked_at_ms
+                logger.debug("nothing borrowed: %s", error)
+                return
+            self._unreached_at_ms.pop(lender, None)
+            self._note_loans(lender, answer, asked_at_ms)
+
+    def _note_loans(self, lender: Address, answer: Message, asked_at_ms: int) -> None:
         if isinstance(answer, GrantAllowances):
             for line in answer.lines:
                 self._note_loan(lender, line, asked_at_ms)
--- a/tests/control/test_allowances.py
+++ b/tests/control/test_allowances.py
@@ -1,6 +1,7 @@
 """Shares of replicas, loans between them, and the bound over all of them."""
 
 import unittest
+from unittest.mock import patch
 
 import anyio
 from hypothesis import given, settings, strategies as st
@@ -14,6 +15,7 @@
     HeldAllowance,
     RouteSheet,
 )
+from cinderway.control import _allowances
 from cinderway.control._account_tokens import Standing
 from cinderway.control._allowances import LEASE_MS, Allowances
 from cinderway.limits import AllowanceLease, AllowanceRules, TokenAnswer
@@ -42,12 +44,15 @@
         self.group = group
         self.cut = set()
         self.refused = 0
+        self.pause_s = 0
 
     async def call(self, address, message, timeout_s):
         if address in self.cut or message.replica in self.cut:
             self.refused += 1
             raise CinderwayError(ErrorCode.PEER_UNREACHABLE, "cut", step=Step.CONNECT)
-        return self.group[address].grant(None, message, self.group.now_ms)
+        answer = self.group[address].grant(None, message, self.group.now_ms)
+        await anyio.sleep(self.pause_s)
+        return answer
 
 
 class Group(dict):
@@ -73,10 +78,8 @@
         short = replica._short(self.now_ms)
         for lender in self.addresses:
             if short and lender != address:
-                lines = [
-                    replica._line_for(lender, row, self.now_ms, 0) for row in short
-                ]
-                await replica._borrow_from(lender, lines, self.now_ms)
+                with patch.object(_allowances, "monotonic_ms", lambda: self.now_ms):
+                    await replica._borrow_from(lender, short, {})
 
 
 def ask(**fields):
@@ -126,6 +129,24 @@
             anyio.run(group["r0"].complete, holder, asked, first)
         self.assertEqual(group.calls.refused, 1)
 
+    def test_loans_that_are_asked_for_at_once_are_all_counted_by_the_lender(self):
+        group = Group(2)
+        group.calls.pause_s = 0.001
+
+        async def scenario():
+            replica = group["r0"]
+            async with anyio.create_task_group() as tasks:
+                for holder, needed in (("e", 36), ("f", 5)):
+                    asked = ask(needed=needed)
+                    first = replica.grant(holder, asked, 0)
+                    tasks.start_soon(replica.complete, holder, asked, first)
+
+        with patch.object(_allowances, "monotonic_ms", lambda: group.now_ms):
+            anyio.run(scenario)
+        borrowed = group["r0"].uses(0)[0].borrowed
+        self.assertGreaterEqual(borrowed, 6 + 5)
+        self.assertEqual(group["r1"].charged("acme", 0), borrowed)
+
     def test_what_was_lent_is_not_borrowed_back(self):
         group = Group(2)
         group["r0"].grant("e", ask(needed=30, wanted=30), 0)
