entry: a stream that breaks off goes on at another server again

Cause: since may_retry takes the request, and the stream passed a field that a transfer does not have; downloads of table mode were cut in place of resumed. Change: a transfer's request is public to its stream.

--- a/src/cinderway/entry/callers/_stream.py
+++ b/src/cinderway/entry/callers/_stream.py
@@ -112,16 +112,16 @@
         self.reply = reply
         self.exclude: set[ServerName] = set()
         self.download: Download | None = None
-        self._request = request
+        self.request = request
 
     def next_request(self):
         """Return what to ask the next server for: all, or the rest."""
         if self.download is None:
-            return self._request.backend_request
-        return self.download.resume_request(self._request.backend_request)
+            return self.request.backend_request
+        return self.download.resume_request(self.request.backend_request)
 
     def deadline_ms(self) -> int:
         """The caller's deadline is for the first byte; later only stalls count."""
         if self.download is None:
-            return self._request.deadline_ms
+            return self.request.deadline_ms
         return monotonic_ms() + self.service.row.request_timeout_ms
