entry: logs and a histogram say how long a control replica takes to be followed

Cause: a try at a replica that ran out of time logged an empty reason, and nothing said how long steps take or when the lost replica was last heard. Change: the lines carry both; control_setup_seconds counts set-ups by outcome.

--- a/src/cinderway/entry/_catalog_daemon.py
+++ b/src/cinderway/entry/_catalog_daemon.py
@@ -51,7 +51,7 @@
     dispatcher = Dispatcher(board, BackendConnections(names=names), evidence)
     metrics = Metrics()
     identity = Identity(settings.name, settings.shared_key)
-    follower = CatalogFollower(settings, state, identity)
+    follower = CatalogFollower(settings, state, identity, metrics)
     attempts = Attempts(
         dispatcher, metrics, ANSWER_LIMIT_BYTES, pays_for_sheds=True, budget=follower
     )
--- a/src/cinderway/entry/fleet/_catalog_follower.py
+++ b/src/cinderway/entry/fleet/_catalog_follower.py
@@ -13,6 +13,7 @@
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import Address
+from cinderway._operators import Metrics
 from cinderway._settings import CatalogEntrySettings
 from cinderway.catalog import (
     CATALOG,
@@ -72,8 +73,11 @@
     settings: CatalogEntrySettings
     state: CatalogBoard
     identity: Identity
+    metrics: Metrics = field(default_factory=Metrics)
     updates: int = 0
     _connection: Connection | None = None
+    # When the followed replica last said anything.
+    _heard_at_ms: int = 0
     _questions: Questions = field(default_factory=Questions)
 
     def __post_init__(self):
@@ -140,25 +144,37 @@
 
     async def _try(self, address: Address) -> bool:
         """Follow one replica for as long as that goes well; False to try the next."""
+        started_at_ms = monotonic_ms()
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 connection = await connect(address, CATALOG, self.identity)
         except (CinderwayError, TimeoutError) as error:
             self._choice.avoid(address, monotonic_ms())
-            logger.info("control replica %s cannot be reached: %s", address, error)
+            took_ms = self._note_setup(started_at_ms, "gave-up")
+            logger.info(
+                "control replica %s cannot be reached: %s after %d ms",
+                address,
+                str(error) or "no time left to connect",
+                took_ms,
+            )
             return False
         try:
             await self._find(connection)
             if self._choice.has_better(address, monotonic_ms()):
+                self._note_setup(started_at_ms, "not-home")
                 return True
+            took_ms = self._note_setup(started_at_ms, "followed")
+            logger.info("control replica %s: set up in %d ms", address, took_ms)
             await self._follow(connection, address)
         except (CinderwayError, TimeoutError) as error:
             self._choice.avoid(address, monotonic_ms(), _avoid_ms(error))
             # Its verdicts end with it; another replica judges anew within seconds.
             self.state.apply(NO_VERDICTS)
             logger.warning(
-                "lost control replica %s: %s; catalog %d stays in force",
+                "lost control replica %s, last heard %d ms ago: %s; "
+                "catalog %d stays in force",
                 address,
+                monotonic_ms() - self._heard_at_ms,
                 str(error) or "silent",
                 self.state.mirror.revision,
             )
@@ -166,6 +182,13 @@
             await connection.aclose()
         return True
 
+    def _note_setup(self, started_at_ms: int, outcome: str) -> int:
+        """Note how long it took to set a connection up, in milliseconds."""
+        took_ms = monotonic_ms() - started_at_ms
+        labels = {"outcome": outcome}
+        self.metrics.observe("control_setup_seconds", took_ms / 1000, labels)
+        return took_ms
+
     async def _find(self, connection: Connection) -> None:
         with anyio.fail_after(FIND_TIMEOUT_S):
             await connection.send(FindReplicas(), call_id=1)
@@ -189,6 +212,7 @@
         # What was earned alone must not be spent on top of the shared budget later.
         for service in self.state.board.services.values():
             service.budget.empty()
+        self._heard_at_ms = monotonic_ms()
         self._connection = connection
         self._questions.connect(connection)
         self.allowances.start_anew()
@@ -212,7 +236,7 @@
         while True:
             with anyio.fail_after(SILENT_LIMIT_S):
                 envelope = await connection.receive()
-            now_ms = monotonic_ms()
+            self._heard_at_ms = now_ms = monotonic_ms()
             self._take(envelope, address, now_ms)
             if now_ms >= look_home_at_ms and not self._choice.is_home(address):
                 return
