wire: a receiver that is cancelled within a message loses nothing

Cause: a receive that was cancelled between a frame's length and its payload left the connection out of step, so a connection could have one reader for all its life only. Change: the length is kept until the payload has come; is_receiving says that one is on its way. connect takes the time that each of its steps may have. Conclusion: a connection can be handed from one task to another; a test sends a frame in two pieces and cancels in between (it fails on the earlier code: no message comes).

--- a/src/cinderway/wire/_connection.py
+++ b/src/cinderway/wire/_connection.py
@@ -98,10 +98,18 @@
         await self._frames.send(*payloads)
 
     async def receive(self) -> Envelope:
-        """Return the next message; a frame that cannot be read raises."""
+        """Return the next message; a frame that cannot be read raises.
+
+        Cancelled, it loses nothing: the next call goes on where it was.
+        """
         payload = await self._frames.receive(FRAME_LIMIT_BYTES)
         return self.conversation.decode(payload, peer=self.peer)
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a message has begun to come and is not whole yet."""
+        return self._frames.is_receiving
+
     async def aclose(self) -> None:
         """Close the connection without waiting for the peer."""
         await anyio.aclose_forcefully(self._frames.stream)
@@ -124,6 +132,13 @@
         self.peer = peer
         self._buffered = BufferedByteReceiveStream(stream)
         self._send_lock = anyio.Lock()
+        # Of a frame whose header was read and whose payload has not come yet: whoever
+        # received may have been cancelled in between, and another goes on.
+        self._length_bytes: int | None = None
+
+    @property
+    def is_receiving(self) -> bool:
+        return self._length_bytes is not None
 
     async def send(self, *payloads: bytes) -> None:
         data = b"".join(self._framed(payload) for payload in payloads)
@@ -147,16 +162,17 @@
 
     async def receive(self, limit_bytes: int) -> bytes:
         try:
-            header = await self._buffered.receive_exactly(LENGTH_BYTES)
-            length_bytes = int.from_bytes(header, "big")
-            if length_bytes > limit_bytes:
+            if self._length_bytes is None:
+                header = await self._buffered.receive_exactly(LENGTH_BYTES)
+                self._length_bytes = int.from_bytes(header, "big")
+            if self._length_bytes > limit_bytes:
                 raise self._error(
                     ErrorCode.FRAME_INVALID,
-                    f"a frame announces {length_bytes} bytes; {limit_bytes} allowed",
+                    f"a frame announces {self._length_bytes} bytes; "
+                    f"{limit_bytes} allowed",
                     Step.RECEIVE,
                 )
-            traffic.received_bytes += LENGTH_BYTES + length_bytes
-            return await self._buffered.receive_exactly(length_bytes)
+            payload = await self._buffered.receive_exactly(self._length_bytes)
         except (
             anyio.BrokenResourceError,
             anyio.ClosedResourceError,
@@ -167,6 +183,9 @@
             raise self._error(
                 ErrorCode.PEER_UNREACHABLE, "the connection ended", Step.RECEIVE
             ) from error
+        traffic.received_bytes += LENGTH_BYTES + len(payload)
+        self._length_bytes = None
+        return payload
 
     async def send_hello(self, message: Message) -> None:
         await self.send(HELLO.encode(message))
@@ -194,12 +213,18 @@
 
 
 async def connect(
-    address: str, conversation: Conversation, identity: Identity
+    address: str,
+    conversation: Conversation,
+    identity: Identity,
+    step_timeout_s: float = HELLO_TIMEOUT_S,
 ) -> Connection:
-    """Open a connection; raises CinderwayError naming the step that failed."""
+    """Open a connection; raises CinderwayError naming the step that failed.
+
+    Connecting and the hello may each take `step_timeout_s`.
+    """
     host, port = split_address(address)
     try:
-        with anyio.fail_after(HELLO_TIMEOUT_S):
+        with anyio.fail_after(step_timeout_s):
             stream = await anyio.connect_tcp(host, port)
     except (OSError, TimeoutError) as error:
         raise CinderwayError(
@@ -210,7 +235,7 @@
         ) from error
     limit_unacknowledged(stream)
     try:
-        with anyio.fail_after(HELLO_TIMEOUT_S):
+        with anyio.fail_after(step_timeout_s):
             return await _greet(stream, address, conversation, identity)
     except BaseException as error:
         await anyio.aclose_forcefully(stream)
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -21,6 +21,7 @@
     serve_connections,
 )
 from cinderway.wire._connection import (
+    LENGTH_BYTES,
     UNACKNOWLEDGED_LIMIT_MS,
     Hello,
     Proof,
@@ -100,6 +101,31 @@
         with_server(use, noting)
         self.assertEqual(limits_ms, [UNACKNOWLEDGED_LIMIT_MS] * 2)
 
+    def test_a_receiver_cancelled_within_a_frame_loses_nothing(self):
+        payload = TABLE.encode(ReadTable(), 7)
+        frame = len(payload).to_bytes(LENGTH_BYTES, "big") + payload
+        go_on = anyio.Event()
+
+        async def send_in_pieces(connection, name):
+            stream = connection._frames.stream
+            await stream.send(frame[: LENGTH_BYTES + 3])
+            await go_on.wait()
+            await stream.send(frame[LENGTH_BYTES + 3 :])
+            await serve(connection, name)
+
+        async def use(address):
+            connection = await connect(address, TABLE, SERVER)
+            while not connection.is_receiving:
+                with anyio.move_on_after(0.05):
+                    await connection.receive()
+            go_on.set()
+            with anyio.fail_after(TIMEOUT_S):
+                envelope = await connection.receive()
+            await connection.aclose()
+            return envelope.call_id, envelope.message
+
+        self.assertEqual(with_server(use, send_in_pieces), (7, ReadTable()))
+
     def test_without_the_shared_key_nothing_is_accepted(self):
         async def use(address):
             stranger = Identity("control", b"another-key-entirely")
