entry: a second control replica stands by; a change is fetched there where the own one does not tell of it

Cause: an entry that lost the replica which it followed was without changes until it had noticed the loss (1.0 to 1.6 s) and opened a new connection: four round trips, each behind callers' bytes on its link, with half a second for the first three. Tries that took longer were thrown away and their replicas avoided for 5 s. It also knew only of replicas that had announced themselves when it first connected. Change: each entry keeps a connection to a second replica, of its own hall if there is one, which tells twice a second how new the catalog is there. What the own replica has not told within 400 ms is fetched there; when it is lost, the other is followed over the open connection. No try is given up because the link is slow: the next replica is tried beside it. The standby is asked every 5 s which replicas there are.

--- a/src/cinderway/catalog/_conversation.py
+++ b/src/cinderway/catalog/_conversation.py
@@ -46,6 +46,18 @@
     peers_address: Address = Address("")
 
 
+class StandBy(Message, frozen=True):
+    """Ask for heartbeats only: the entry follows another replica, and may turn here."""
+
+    entry: EntryName
+
+
+class FetchCatalog(Message, frozen=True):
+    """Ask once for what changed beyond a revision; the answer is a CatalogUpdate."""
+
+    known_revision: int
+
+
 class CatalogUpdate(Message, frozen=True):
     """What changed between two revisions.
 
@@ -261,6 +273,8 @@
         GrantAllowances,
         TakeRetry,
         RetryAnswer,
+        StandBy,
+        FetchCatalog,
         SubmitCommand,
         Done,
         Failure,
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -10,7 +10,7 @@
 import anyio
 
 from cinderway._clock import monotonic_ms
-from cinderway._errors import CinderwayError
+from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway.catalog import (
     CATALOG,
     AnnounceReplica,
@@ -18,19 +18,21 @@
     CatalogHeartbeat,
     CatalogMachine,
     EvidenceBatch,
+    FetchCatalog,
     FindReplicas,
     FollowCatalog,
     GrantAllowances,
     ReplicasAnswer,
     RetryAnswer,
     ServerLoads,
+    StandBy,
     SubmitCommand,
     SuspectServers,
     TakeRetry,
 )
 from cinderway.control._allowances import Allowances
 from cinderway.control._commands import Commands, ReplicaCalls
-from cinderway.control._follower import Follower
+from cinderway.control._follower import HEARTBEAT_S, SEND_TIMEOUT_S, Follower
 from cinderway.control._hall_service import HallService
 from cinderway.replication import Node
 from cinderway.wire import (
@@ -86,12 +88,16 @@
         return min(max(age_ms, 0), MAXIMUM_LEADER_AGE_MS)
 
     async def _serve(self, connection: Connection, name: str) -> None:
+        standing_by = anyio.CancelScope()
         async with anyio.create_task_group() as tasks:
             try:
                 while True:
                     envelope = await connection.receive()
                     match envelope.message:
+                        case StandBy():
+                            tasks.start_soon(self._stand_by, connection, standing_by)
                         case FollowCatalog() as request:
+                            standing_by.cancel()
                             tasks.start_soon(self._feed, connection, request)
                         case EvidenceBatch() as batch:
                             self.hall.take_evidence(batch)
@@ -150,6 +156,8 @@
             match message:
                 case FindReplicas():
                     return ReplicasAnswer(self.machine.replica_addresses())
+                case FetchCatalog(known_revision=known_revision):
+                    return self._update_since(known_revision)
                 case SubmitCommand(data=data):
                     await self.commands.propose(data)
                     return Done()
@@ -162,6 +170,27 @@
             return failure_from(error, self.node.leader_address)
         raise AssertionError(f"no answer for {type(message).__name__}")
 
+    def _update_since(self, known_revision: int) -> Message:
+        if not self.node.core.has_caught_up:
+            raise CinderwayError(
+                ErrorCode.NO_QUORUM,
+                "this replica has not caught up since its start",
+                step=Step.RECEIVE,
+            )
+        return self.machine.update_since(known_revision)
+
+    async def _stand_by(self, connection: Connection, scope: anyio.CancelScope) -> None:
+        """Tell an entry that follows elsewhere how new the catalog is here."""
+        with scope:
+            try:
+                while True:
+                    with anyio.fail_after(SEND_TIMEOUT_S):
+                        await connection.send(self._heartbeat())
+                    await anyio.sleep(HEARTBEAT_S)
+            except (CinderwayError, TimeoutError) as error:
+                logger.debug("no longer standing by for an entry: %s", error)
+                await connection.aclose()
+
     async def _feed(self, connection: Connection, request: FollowCatalog) -> None:
         follower = Follower(
             request.entry,
--- a/src/cinderway/entry/fleet/_catalog_follower.py
+++ b/src/cinderway/entry/fleet/_catalog_follower.py
@@ -1,12 +1,11 @@
 """Follow the catalog at one control replica, in the own data hall if there is one.
 
 The replica says twice a second how old its own knowledge is. When that grows, or
-nothing comes, another replica is followed; the catalog that is held stays in force
-meanwhile and never goes back.
+nothing comes, the replica that stands by is followed in its place; the catalog that is
+held stays in force meanwhile and never goes back.
 """
 
 import logging
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -17,15 +16,12 @@
 from cinderway._operators import Metrics
 from cinderway._settings import CatalogEntrySettings
 from cinderway.catalog import (
-    CATALOG,
     AskAllowances,
     CatalogHeartbeat,
     CatalogUpdate,
-    FindReplicas,
     FollowCatalog,
     GrantAllowances,
     HallEntries,
-    ReplicasAnswer,
     RetryAnswer,
     ServerLoads,
     SuspectServers,
@@ -36,29 +32,29 @@
 from cinderway.entry._catalog_board import CatalogBoard
 from cinderway.entry.fleet._allowances import Allowances
 from cinderway.entry.fleet._catalog_reports import CatalogReports
+from cinderway.entry.fleet._control_sessions import (
+    Connect,
+    ControlSession,
+    ControlSessions,
+)
 from cinderway.entry.fleet._questions import Questions
 from cinderway.entry.fleet._replica_choice import (
     AVOID_MS,
     LEADERLESS_AVOID_MS,
     ReplicaChoice,
 )
+from cinderway.entry.fleet._standby import SILENT_LIMIT_S, Standby
 from cinderway.wire import Connection, Envelope, Identity, connect
 
 logger = logging.getLogger(__name__)
 
-# Three heartbeats of the replica; a change must be in force within two seconds.
-SILENT_LIMIT_S = 1.6
 # Together with the time in which a leader that is cut off notices it (0.9 s) and with a
 # heartbeat's interval, an entry behind a cut leaves the minority's replicas within 3 s.
 LEADER_AGE_LIMIT_MS = 1_300
-FIND_TIMEOUT_S = 0.5
-CONNECT_TIMEOUT_S = 0.5
 # Between two rounds through all replicas.
 RECONNECT_PAUSE_S = 0.1
 # A retry that has to wait longer for leave is hardly worth sending.
 RETRY_TIMEOUT_S = 0.25
-# How often an entry that follows another hall's replica looks for one in its own.
-LOOK_HOME_MS = 5_000
 # Takes all verdicts back that are in force.
 NO_VERDICTS = VerdictBatch([], [])
 
@@ -75,7 +71,7 @@
     state: CatalogBoard
     identity: Identity
     metrics: Metrics = field(default_factory=Metrics)
-    connect: Callable[..., Awaitable[Connection]] = connect
+    connect: Connect = connect
     updates: int = 0
     _connection: Connection | None = None
     # When the followed replica last said anything.
@@ -89,6 +85,19 @@
             self.settings.control_port,
             self.settings.seeds,
         )
+        self._sessions = ControlSessions(
+            self._choice, self.identity, self.metrics, self.connect
+        )
+        self._standby = Standby(
+            self.settings.name,
+            self._sessions,
+            self._choice,
+            lambda: self.state.mirror.revision,
+            lambda: self._connection is not None and self._connection.is_receiving,
+            lambda update: self._install(update, monotonic_ms()),
+            lambda age_ms: self._note_age(age_ms, monotonic_ms()),
+            LEADER_AGE_LIMIT_MS,
+        )
         self._reports = CatalogReports(
             self.settings.name, self.settings.data_hall, self.state
         )
@@ -103,14 +112,31 @@
         """Follow until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.allowances.run)
+            tasks.start_soon(self._standby.run)
             await self._follow_replicas()
 
     async def _follow_replicas(self) -> None:
         while True:
-            for address in self._choice.candidates(monotonic_ms()):
-                if await self._try(address):
-                    break
-            await anyio.sleep(RECONNECT_PAUSE_S)
+            session = await self._next_session()
+            if session is None:
+                await anyio.sleep(RECONNECT_PAUSE_S)
+                continue
+            await self._follow_while_it_serves(session)
+
+    async def _next_session(self) -> ControlSession | None:
+        """Return a session with the replica to follow; None if none answers."""
+        session = await self._standby.take()
+        if session is not None:
+            return session
+        now_ms = monotonic_ms()
+        session = await self._sessions.open_first(self._choice.candidates(now_ms))
+        if session is None or not session.is_first_contact:
+            return session
+        if self._choice.has_better(session.address, monotonic_ms()):
+            # It has told of one in the own hall: what it would send crosses halls.
+            await session.connection.aclose()
+            return None
+        return session
 
     @property
     def is_following(self) -> bool:
@@ -144,30 +170,11 @@
 
     # Following.
 
-    async def _try(self, address: Address) -> bool:
-        """Follow one replica for as long as that goes well; False to try the next."""
-        started_at_ms = monotonic_ms()
+    async def _follow_while_it_serves(self, session: ControlSession) -> None:
+        address = session.address
+        self._choice.followed = address
         try:
-            with anyio.fail_after(CONNECT_TIMEOUT_S):
-                connection = await self.connect(address, CATALOG, self.identity)
-        except (CinderwayError, TimeoutError) as error:
-            self._choice.avoid(address, monotonic_ms())
-            took_ms = self._note_setup(started_at_ms, "gave-up")
-            logger.info(
-                "control replica %s cannot be reached: %s after %d ms",
-                address,
-                str(error) or "no time left to connect",
-                took_ms,
-            )
-            return False
-        try:
-            await self._find(connection)
-            if self._choice.has_better(address, monotonic_ms()):
-                self._note_setup(started_at_ms, "not-home")
-                return True
-            took_ms = self._note_setup(started_at_ms, "followed")
-            logger.info("control replica %s: set up in %d ms", address, took_ms)
-            await self._follow(connection, address)
+            await self._follow(session.connection, address)
         except (CinderwayError, TimeoutError) as error:
             self._choice.avoid(address, monotonic_ms(), _avoid_ms(error))
             # Its verdicts end with it; another replica judges anew within seconds.
@@ -181,22 +188,8 @@
                 self.state.mirror.revision,
             )
         finally:
-            await connection.aclose()
-        return True
-
-    def _note_setup(self, started_at_ms: int, outcome: str) -> int:
-        """Note how long it took to set a connection up, in milliseconds."""
-        took_ms = monotonic_ms() - started_at_ms
-        labels = {"outcome": outcome}
-        self.metrics.observe("control_setup_seconds", took_ms / 1000, labels)
-        return took_ms
-
-    async def _find(self, connection: Connection) -> None:
-        with anyio.fail_after(FIND_TIMEOUT_S):
-            await connection.send(FindReplicas(), call_id=1)
-            answer = (await connection.receive()).message
-        if isinstance(answer, ReplicasAnswer):
-            self._choice.replicas = answer.replicas
+            self._choice.followed = None
+            await session.connection.aclose()
 
     async def _follow(self, connection: Connection, address: Address) -> None:
         name, hall = self.settings.name, self.settings.data_hall
@@ -234,14 +227,11 @@
             raise failure
 
     async def _listen(self, connection: Connection, address: Address) -> None:
-        look_home_at_ms = monotonic_ms() + LOOK_HOME_MS
-        while True:
+        while self._choice.is_home(address) or not self._standby.is_current_at_home:
             with anyio.fail_after(SILENT_LIMIT_S):
                 envelope = await connection.receive()
             self._heard_at_ms = now_ms = monotonic_ms()
             self._take(envelope, address, now_ms)
-            if now_ms >= look_home_at_ms and not self._choice.is_home(address):
-                return
 
     def _take(self, envelope: Envelope, address: Address, now_ms: int) -> None:
         message = envelope.message
@@ -284,6 +274,9 @@
                 step=Step.RECEIVE,
                 peer=address,
             )
+        self._note_age(age_ms, now_ms)
+
+    def _note_age(self, age_ms: int, now_ms: int) -> None:
         self.state.current_at_ms = max(self.state.current_at_ms, now_ms - age_ms)
 
 
--- /dev/null
+++ b/src/cinderway/entry/fleet/_control_sessions.py
@@ -0,0 +1,122 @@
+"""Open connections to control replicas, however long a busy link takes for it.
+
+A connection takes four round trips until a replica can be followed, each of them behind
+what callers send and get over the same link. No try is thrown away because the link is
+slow: the next replica is tried beside it, and the first that answers is taken.
+"""
+
+import logging
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+
+import anyio
+
+from cinderway._clock import monotonic_ms
+from cinderway._errors import CinderwayError
+from cinderway._ids import Address
+from cinderway._operators import Metrics
+from cinderway.catalog import CATALOG, FindReplicas, ReplicasAnswer
+from cinderway.entry.fleet._replica_choice import ReplicaChoice
+from cinderway.wire import Connection, Identity
+
+logger = logging.getLogger(__name__)
+
+# Each step of a connection. A link of 3 Mbit/s that carries downloads of 90 KB holds a
+# round trip up for a quarter of a second each; tries that were given up after half a
+# second for three round trips kept an entry without a replica for 2.8 s.
+STEP_TIMEOUT_S = 3.0
+# How long a replica is tried alone. On an idle link it answers within some 10 ms.
+STAGGER_S = 0.4
+
+Connect = Callable[..., Awaitable[Connection]]
+
+
+@dataclass(frozen=True)
+class ControlSession:
+    """An open connection to one control replica.
+
+    `is_first_contact` says that nothing was known of the replica before.
+    """
+
+    address: Address
+    connection: Connection
+    is_first_contact: bool
+
+
+@dataclass
+class ControlSessions:
+    """Opens sessions; what replicas they tell of goes into the choice."""
+
+    choice: ReplicaChoice
+    identity: Identity
+    metrics: Metrics
+    connect: Connect
+
+    async def open_first(self, addresses: Iterable[Address]) -> ControlSession | None:
+        """Return a session with the first replica that answers; None if none does.
+
+        Replicas are tried in order, the next one when the last has failed or has not
+        answered for `STAGGER_S`.
+        """
+        opened: list[ControlSession] = []
+        async with anyio.create_task_group() as tasks:
+
+            async def attempt(address: Address, ended: anyio.Event) -> None:
+                session = await self._try(address)
+                ended.set()
+                if session is None:
+                    return
+                if opened:
+                    await session.connection.aclose()
+                    return
+                opened.append(session)
+                tasks.cancel_scope.cancel()
+
+            for address in addresses:
+                ended = anyio.Event()
+                tasks.start_soon(attempt, address, ended)
+                with anyio.move_on_after(STAGGER_S):
+                    await ended.wait()
+        return opened[0] if opened else None
+
+    async def _try(self, address: Address) -> ControlSession | None:
+        started_at_ms = monotonic_ms()
+        try:
+            session = await self._open(address)
+        except (CinderwayError, TimeoutError) as error:
+            self.choice.avoid(address, monotonic_ms())
+            logger.info(
+                "control replica %s cannot be reached: %s after %d ms",
+                address,
+                str(error) or "it does not answer",
+                self._note_setup(started_at_ms, "failed"),
+            )
+            return None
+        took_ms = self._note_setup(started_at_ms, "opened")
+        logger.info("control replica %s answers after %d ms", address, took_ms)
+        return session
+
+    async def _open(self, address: Address) -> ControlSession:
+        connection = await self.connect(address, CATALOG, self.identity, STEP_TIMEOUT_S)
+        is_first_contact = not self.choice.hall_of(address)
+        try:
+            if is_first_contact:
+                await self._find_replicas(connection)
+        except BaseException:
+            await connection.aclose()
+            raise
+        return ControlSession(address, connection, is_first_contact)
+
+    async def _find_replicas(self, connection: Connection) -> None:
+        with anyio.fail_after(STEP_TIMEOUT_S):
+            await connection.send(FindReplicas(), call_id=1)
+            answer = (await connection.receive()).message
+        if isinstance(answer, ReplicasAnswer):
+            self.choice.replicas = answer.replicas
+
+    def _note_setup(self, started_at_ms: int, outcome: str) -> int:
+        """Note how long opening took, and return that in milliseconds."""
+        took_ms = monotonic_ms() - started_at_ms
+        labels = {"outcome": outcome}
+        self.metrics.observe("control_setup_seconds", took_ms / 1000, labels)
+        return took_ms
--- a/src/cinderway/entry/fleet/_questions.py
+++ b/src/cinderway/entry/fleet/_questions.py
@@ -10,8 +10,8 @@
 
 logger = logging.getLogger(__name__)
 
-# The call that finds replicas has the first id.
-FIRST_CALL_ID = 2
+# Calls that find replicas and fetch the catalog have the first ids.
+FIRST_CALL_ID = 3
 
 
 @dataclass
--- a/src/cinderway/entry/fleet/_replica_choice.py
+++ b/src/cinderway/entry/fleet/_replica_choice.py
@@ -26,6 +26,8 @@
     control_port: int
     seeds: tuple[Address, ...]
     replicas: list[ReplicaAddress] = field(default_factory=list)
+    # The one that serves the entry now.
+    followed: Address | None = None
     _avoid_until_ms: dict[Address, int] = field(default_factory=dict)
 
     def candidates(self, now_ms: int) -> list[Address]:
@@ -43,6 +45,10 @@
 
         return sorted(addresses, key=rank)
 
+    def standbys(self, now_ms: int) -> list[Address]:
+        """Replicas besides the followed one, in the order to try them."""
+        return [a for a in self.candidates(now_ms) if a != self.followed]
+
     def avoid(self, address: Address, now_ms: int, for_ms: int = AVOID_MS) -> None:
         """Put a replica last for a while: it failed."""
         self._avoid_until_ms[address] = now_ms + for_ms
--- a/src/cinderway/wire/schemas/catalog.capnp
+++ b/src/cinderway/wire/schemas/catalog.capnp
@@ -21,6 +21,8 @@
     hallEntries @15 :HallEntries;
     askAllowances @16 :AskAllowances;
     grantAllowances @17 :GrantAllowances;
+    standBy @18 :StandBy;
+    fetchCatalog @19 :FetchCatalog;
   }
 }
 
@@ -42,6 +44,14 @@
   peersAddress @3 :Text;
 }
 
+struct StandBy {
+  entry @0 :Text;
+}
+
+struct FetchCatalog {
+  knownRevision @0 :UInt64;
+}
+
 struct CatalogUpdate {
   baseRevision @0 :UInt64;
   revision @1 :UInt64;
--- a/tests/entry/fleet/_modelled_control.py
+++ b/tests/entry/fleet/_modelled_control.py
@@ -105,6 +105,8 @@
     incoming: list[bytes] = field(default_factory=list)
     other: "_End | None" = None
     is_closed: bool = False
+    # Messages of the model arrive whole.
+    is_receiving: bool = False
     _has_come: anyio.Event = field(default_factory=anyio.Event)
 
     async def send(self, message, call_id=0):
--- a/tests/entry/fleet/test_lost_replica.py
+++ b/tests/entry/fleet/test_lost_replica.py
@@ -6,8 +6,8 @@
 downloads refused a request for a new route 3.4 s after the sheet was acknowledged, and
 others gave up replicas that were running:
 
-    edge-cxs-b-27 request c65b825590bf9b9a: answered ... catalog 177 known 3713 ms ago
-    edge-cxs-b-36 control replica 10.1.0.51:7220 cannot be reached:
+    entry 27: request ... answered ... catalog 177 known 3713 ms ago
+    entry 36: control replica 10.1.0.51:7220 cannot be reached:
 
 A new connection takes four round trips, each of them behind callers' bytes, and had
 half a second for the first three; then it was thrown away, its replica avoided for five
@@ -64,7 +64,9 @@
     )
 
 
-class LostReplicaTests(unittest.TestCase):
+class ControlCase(unittest.TestCase):
+    """An entry with two control replicas in its own hall and one in another."""
+
     def setUp(self):
         logging.disable(logging.WARNING)
         self.addCleanup(logging.disable, logging.NOTSET)
@@ -89,8 +91,7 @@
             connect=self.control.connect,
         )
         commands = [*(replica.own for replica in self.replicas), sheet(1)]
-        for replica in self.replicas:
-            replica.apply(1, *commands)
+        self.apply_everywhere(1, *commands)
         async with self.control.running(), anyio.create_task_group() as tasks:
             tasks.start_soon(self.follower.run)
             await self.until_version(1)
@@ -113,10 +114,15 @@
 
     @property
     def followed(self):
-        """The replica that serves the entry now."""
-        serving = [r for r in self.replicas if r.service.hall.followers]
-        return serving[0]
+        """The replica that serves the entry now; None while none does."""
+        return self.control.replicas.get(self.follower._choice.followed)
+
+    def apply_everywhere(self, index, *commands):
+        for replica in self.replicas:
+            replica.apply(index, *commands)
+
 
+class LostReplicaTests(ControlCase):
     async def change_as_the_followed_replica_dies(self):
         """Return how long a change takes whose replica dies as it acknowledges it."""
         acknowledged_at_ms = monotonic_ms()
--- /dev/null
+++ b/tests/entry/fleet/test_standby.py
@@ -0,0 +1,89 @@
+"""The second control replica that an entry keeps a connection to."""
+
+import anyio
+
+from cinderway._ids import Address, DataHall
+from cinderway.catalog import AnnounceReplica
+from tests.entry.fleet.test_lost_replica import (
+    AWAY,
+    BUSY_LEG_MS,
+    COMMIT_DELAY_S,
+    HALL,
+    ControlCase,
+    sheet,
+)
+
+# Several heartbeats, and longer than the own replica is given to tell of a change.
+A_WHILE_S = 3.0
+
+
+class StandbyTests(ControlCase):
+    async def fetches_for_calm_changes(self):
+        """Return how often changes were fetched that the own replica tells, too."""
+        for version in range(2, 8):
+            followed = self.followed
+            # Whichever replica leads has a change before the others.
+            self.replicas[version % 2].apply(10 * version, sheet(version))
+            await anyio.sleep(COMMIT_DELAY_S)
+            self.apply_everywhere(10 * version, sheet(version))
+            await self.until_version(version)
+            self.assertIs(self.followed, followed)
+            await anyio.sleep(A_WHILE_S)
+        return self.follower._standby.fetches
+
+    def test_a_change_that_the_own_replica_tells_of_is_not_fetched_as_well(self):
+        self.assertEqual(self.play(self.fetches_for_calm_changes), 0)
+        self.assertEqual(self.play(self.fetches_for_calm_changes, BUSY_LEG_MS), 0)
+
+    async def change_that_the_own_replica_does_not_tell_of(self):
+        followed = self.followed
+        for replica in self.replicas:
+            if replica is not followed:
+                replica.apply(10, sheet(2))
+        await self.until_version(2)
+        return self.version_in_force, self.followed is followed
+
+    def test_a_change_is_fetched_where_the_own_replica_does_not_tell_of_it(self):
+        found = self.play(self.change_that_the_own_replica_does_not_tell_of)
+        self.assertEqual(found, (2, True))
+
+    async def connections_for_a_loss(self):
+        """Return the next replica's hall, and how many connections that took."""
+        before = [replica.connections for replica in self.replicas]
+        lost = self.followed
+        lost.has_power = False
+        while self.followed in (lost, None):
+            await anyio.sleep(0.01)
+        after = [replica.connections for replica in self.replicas]
+        return self.followed.own.data_hall, sum(after) - sum(before)
+
+    def test_the_replica_that_stands_by_is_followed_over_its_open_connection(self):
+        data_hall, opened = self.play(self.connections_for_a_loss, BUSY_LEG_MS)
+        self.assertEqual(data_hall, HALL)
+        self.assertEqual(opened, 0)
+
+    async def replicas_known_after_an_announcement(self):
+        hall = DataHall("labasa")
+        late = AnnounceReplica(Address("10.0.0.9:7100"), hall, Address("unused:0"))
+        self.apply_everywhere(10, late)
+        await anyio.sleep(3 * A_WHILE_S)
+        return {replica.address for replica in self.follower._choice.replicas}
+
+    def test_a_replica_that_joins_later_becomes_known(self):
+        known = self.play(self.replicas_known_after_an_announcement)
+        self.assertIn("10.0.0.9:7100", known)
+
+    async def hall_followed_when_the_own_one_comes_back(self):
+        for replica in self.replicas[:2]:
+            replica.has_power = False
+        while self.followed is None or self.followed.address != AWAY:
+            await anyio.sleep(0.01)
+        for replica in self.replicas[:2]:
+            replica.has_power = True
+        await anyio.sleep(6 * A_WHILE_S)
+        return self.followed.own.data_hall
+
+    def test_an_entry_returns_to_its_own_hall_once_a_replica_is_back_there(self):
+        self.assertEqual(
+            self.play(self.hall_followed_when_the_own_one_comes_back), HALL
+        )
