replication: a replica's knowledge is as old as what it has applied, not as the leader's last message

A disk that stalls or is full, or a log with a gap, left its entries with an old catalog that passed for current; a replica just started passed for caught up before it had applied what it held. Change: heartbeats to entries tell how long ago all that a leader had committed (in its own term) was applied here. Entries leave a replica by that; a gauge shows it.

--- a/src/cinderway/catalog/_conversation.py
+++ b/src/cinderway/catalog/_conversation.py
@@ -75,11 +75,11 @@
 class CatalogHeartbeat(Message, frozen=True):
     """A replica's word that it is there.
 
-    `leader_age_ms` is how long ago it last heard from a leader of the group: what it
-    hands out is at most that old. `entries` is how many entries follow it.
+    What it hands out is at most `knowledge_age_ms` old: all that a leader of the group
+    had committed then is applied here. `entries` is how many entries follow it.
     """
 
-    leader_age_ms: int
+    knowledge_age_ms: int
     revision: int
     entries: int
 
--- a/src/cinderway/control/_catalog_daemon.py
+++ b/src/cinderway/control/_catalog_daemon.py
@@ -167,6 +167,7 @@
         "replica_commit_index": float(core.commit_index),
         "replica_voters": float(len(core.membership.voters)),
         "replica_syncs": float(node.counters.syncs),
+        "knowledge_age_seconds": service.knowledge_age_ms() / 1000,
         "catalog_revision": float(service.machine.revision),
         "catalog_servers": float(len(service.machine.registry.servers)),
         "sheet_version": float(sheet.version if sheet else 0),
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -47,8 +47,8 @@
 
 # Between two tries to announce this replica.
 ANNOUNCE_PAUSE_S = 0.5
-# Stands also for a leader never heard from; the heartbeat's field has 32 bits.
-MAXIMUM_LEADER_AGE_MS = 2**31
+# Stands also for an unknown age; the heartbeat's field has 32 bits.
+MAXIMUM_AGE_MS = 2**31
 
 
 @dataclass
@@ -77,15 +77,10 @@
             tasks.start_soon(self.allowances.run)
             await self._wake_followers()
 
-    def leader_age_ms(self) -> int:
-        """How old what this replica knows of the group may be."""
-        core = self.node.core
-        if core.is_leader:
-            return 0
-        if core.leader_heard_at_ms is None:
-            return MAXIMUM_LEADER_AGE_MS
-        age_ms = monotonic_ms() - core.leader_heard_at_ms
-        return min(max(age_ms, 0), MAXIMUM_LEADER_AGE_MS)
+    def knowledge_age_ms(self) -> int:
+        """How old what this replica hands out may be."""
+        age_ms = self.node.knowledge_age_ms(monotonic_ms())
+        return MAXIMUM_AGE_MS if age_ms is None else min(age_ms, MAXIMUM_AGE_MS)
 
     async def _serve(self, connection: Connection, name: str) -> None:
         standing_by = anyio.CancelScope()
@@ -171,7 +166,7 @@
         raise AssertionError(f"no answer for {type(message).__name__}")
 
     def _update_since(self, known_revision: int) -> Message:
-        if not self.node.core.has_caught_up:
+        if not self.node.has_caught_up:
             raise CinderwayError(
                 ErrorCode.NO_QUORUM,
                 "this replica has not caught up since its start",
@@ -199,7 +194,7 @@
             connection,
             self.machine,
             self._heartbeat,
-            lambda: self.node.core.has_caught_up,
+            lambda: self.node.has_caught_up,
             request.peers_address,
         )
         self.hall.followers.add(follower)
@@ -216,7 +211,7 @@
 
     def _heartbeat(self) -> CatalogHeartbeat:
         return CatalogHeartbeat(
-            self.leader_age_ms(), self.machine.revision, len(self.hall.followers)
+            self.knowledge_age_ms(), self.machine.revision, len(self.hall.followers)
         )
 
     async def _wake_followers(self) -> None:
--- a/src/cinderway/entry/fleet/_catalog_follower.py
+++ b/src/cinderway/entry/fleet/_catalog_follower.py
@@ -50,7 +50,7 @@
 
 # Together with the time in which a leader that is cut off notices it (0.9 s) and with a
 # heartbeat's interval, an entry behind a cut leaves the minority's replicas within 3 s.
-LEADER_AGE_LIMIT_MS = 1_300
+KNOWLEDGE_AGE_LIMIT_MS = 1_300
 # Between two rounds through all replicas.
 RECONNECT_PAUSE_S = 0.1
 # A retry that has to wait longer for leave is hardly worth sending.
@@ -96,7 +96,7 @@
             lambda: self._connection is not None and self._connection.is_receiving,
             lambda update: self._install(update, monotonic_ms()),
             lambda age_ms: self._note_age(age_ms, monotonic_ms()),
-            LEADER_AGE_LIMIT_MS,
+            KNOWLEDGE_AGE_LIMIT_MS,
         )
         self._reports = CatalogReports(
             self.settings.name, self.settings.data_hall, self.state
@@ -248,7 +248,7 @@
                 self._questions.take_answer(envelope.call_id, message)
             case VerdictBatch():
                 self.state.apply(message)
-            case CatalogHeartbeat(leader_age_ms=age_ms):
+            case CatalogHeartbeat(knowledge_age_ms=age_ms):
                 self._hear(address, age_ms, now_ms)
 
     def _install(self, update: CatalogUpdate, now_ms: int) -> None:
@@ -264,13 +264,13 @@
         )
 
     def _hear(self, address: Address, age_ms: int, now_ms: int) -> None:
-        is_stale = age_ms > LEADER_AGE_LIMIT_MS
+        is_stale = age_ms > KNOWLEDGE_AGE_LIMIT_MS
         # Where all replicas are without a leader, one that is followed is the first to
         # tell of the next; going round them would only keep them busy.
         if is_stale and self._choice.has_other(address, now_ms):
             raise CinderwayError(
                 ErrorCode.NO_QUORUM,
-                f"the replica last heard from a leader {age_ms} ms ago",
+                f"what the replica knows is {age_ms} ms old",
                 step=Step.RECEIVE,
                 peer=address,
             )
--- a/src/cinderway/entry/fleet/_standby.py
+++ b/src/cinderway/entry/fleet/_standby.py
@@ -61,10 +61,10 @@
     is_being_told: Callable[[], bool]
     install: Callable[[CatalogUpdate], None]
     note_age: Callable[[int], None]
-    leader_age_limit_ms: int
+    age_limit_ms: int
     fetches: int = 0
     _session: ControlSession | None = None
-    _leader_age_ms: int | None = None
+    _age_ms: int | None = None
     _revision: int = 0
     _behind_since_ms: int | None = None
     _is_fetching: bool = False
@@ -84,13 +84,13 @@
 
     @property
     def is_current(self) -> bool:
-        """Whether the replica here lately heard from a leader, by its own word."""
-        age_ms = self._leader_age_ms
-        return age_ms is not None and age_ms <= self.leader_age_limit_ms
+        """Whether what the replica here knows is new, by its own word."""
+        age_ms = self._age_ms
+        return age_ms is not None and age_ms <= self.age_limit_ms
 
     @property
     def is_current_at_home(self) -> bool:
-        """Whether a replica of the own data hall stands by, and hears a leader."""
+        """Whether a replica of the own data hall stands by, and is current."""
         session = self._session
         if session is None or not self.is_current:
             return False
@@ -110,7 +110,7 @@
 
     async def _watch(self, session: ControlSession) -> None:
         self._session = session
-        self._leader_age_ms = self._behind_since_ms = None
+        self._age_ms = self._behind_since_ms = None
         self._is_fetching = False
         self._released = anyio.Event()
         self._watching = anyio.CancelScope()
@@ -175,8 +175,8 @@
             case Failure(detail=detail):
                 self._is_fetching = False
                 logger.info("the replica that stands by has nothing newer: %s", detail)
-            case CatalogHeartbeat(leader_age_ms=age_ms, revision=revision):
-                self._leader_age_ms, self._revision = age_ms, revision
+            case CatalogHeartbeat(knowledge_age_ms=age_ms, revision=revision):
+                self._age_ms, self._revision = age_ms, revision
                 self._compare(age_ms)
 
     def _compare(self, age_ms: int) -> None:
--- a/src/cinderway/replication/_follower_log.py
+++ b/src/cinderway/replication/_follower_log.py
@@ -46,15 +46,15 @@
         state.commit_index = max(
             state.commit_index, min(request.commit_index, match_index)
         )
-        self._note_caught_up(request)
+        self._note_commit(request)
         self._reply_append(request, is_match=True, match_index=match_index)
 
-    def _note_caught_up(self, request: AppendRequest) -> None:
+    def _note_commit(self, request: AppendRequest) -> None:
         state = self._state
         # The leader's own commit index says all only once it has committed in its term.
         has_all = state.commit_index >= request.commit_index
         if has_all and state.log.term_at(request.commit_index) == request.term:
-            state.note_caught_up()
+            state.note_told(request.commit_index)
 
     def _matches(self, index: int, term: int) -> bool:
         state = self._state
--- a/src/cinderway/replication/_node.py
+++ b/src/cinderway/replication/_node.py
@@ -104,6 +104,8 @@
         self.peers = settings.peers
         self.counters = NodeCounters()
         self.applied_index = 0
+        # When all that a leader had committed by then was known to be applied here.
+        self.known_at_ms: int | None = None
         self._identity = identity
         recovered = folder.recover()
         state_machine.restore(recovered.log.snapshot.data)
@@ -137,6 +139,24 @@
         member = self.core.membership.members.get(self.core.leader_id)
         return member.address if member else None
 
+    @property
+    def has_caught_up(self) -> bool:
+        """Whether what is applied here held all that was acknowledged, at some time."""
+        core = self.core
+        return core.has_caught_up and self.applied_index >= core.caught_up_index
+
+    def knowledge_age_ms(self, now_ms: int) -> int | None:
+        """How old what is applied here may be; None if that is not known.
+
+        A replica may hear its leader and still apply nothing, while its disk stalls.
+        By the leader's last message alone such a one passed for current.
+        """
+        if self.core.is_leader:
+            return 0
+        if self.known_at_ms is None:
+            return None
+        return max(now_ms - self.known_at_ms, 0)
+
     async def run(self) -> None:
         """Run until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -241,6 +261,7 @@
             for outgoing in output.outgoing:
                 links.send(outgoing.address, outgoing.message)
             self._apply(output.committed)
+            self._note_known()
             self._confirm(output.reads)
             await self._compact_if_large()
 
@@ -302,6 +323,10 @@
         if entries:
             self._note_applied()
 
+    def _note_known(self) -> None:
+        if self.applied_index >= self.core.told_commit_index:
+            self.known_at_ms = self.core.told_at_ms
+
     def _confirm(self, reads: list[ConfirmedRead]) -> None:
         for read in reads:
             waiting = self._reads.get(read.read_id)
--- a/src/cinderway/replication/_state.py
+++ b/src/cinderway/replication/_state.py
@@ -76,8 +76,13 @@
         # Of each member, itself too; only a leader keeps it.
         self.progress: dict[ReplicaId, Progress] = {}
         self.output = Output()
+        # The newest word of a leader that had committed in its term: up to which index
+        # it had committed, and when that was heard.
+        self.told_commit_index = 0
+        self.told_at_ms: int | None = None
         self._handed_out_index = log.snapshot.index
         self._has_caught_up = False
+        self.caught_up_index = 0
 
     @property
     def term(self) -> int:
@@ -101,8 +106,8 @@
         A replica that has just started knows only a part of it until a leader, or its
         own election, has told it more; it must not show that part as the state.
         """
-        if not self._has_caught_up and self.is_leader:
-            self._has_caught_up = self.has_committed_in_term
+        if self.is_leader and self.has_committed_in_term:
+            self._note_caught_up(self.commit_index)
         return self._has_caught_up
 
     @property
@@ -124,9 +129,16 @@
             if replica_id != self.replica_id and progress.last_heard_ms < oldest_ms
         ]
 
-    def note_caught_up(self) -> None:
-        """Note that all that was acknowledged is committed here."""
-        self._has_caught_up = True
+    def note_told(self, commit_index: int) -> None:
+        """Note a leader's word on what is committed, all of which is held here."""
+        self.told_commit_index = commit_index
+        self.told_at_ms = self.now_ms
+        self._note_caught_up(commit_index)
+
+    def _note_caught_up(self, index: int) -> None:
+        if not self._has_caught_up:
+            self._has_caught_up = True
+            self.caught_up_index = index
 
     def set_hard_state(self, hard_state: HardState) -> None:
         """Take a new term or vote, to be made durable before anything is sent."""
--- a/src/cinderway/wire/schemas/catalog.capnp
+++ b/src/cinderway/wire/schemas/catalog.capnp
@@ -61,7 +61,7 @@
 }
 
 struct CatalogHeartbeat {
-  leaderAgeMs @0 :UInt32;
+  knowledgeAgeMs @0 :UInt32;
   revision @1 :UInt64;
   entries @2 :UInt32;
 }
--- a/tests/entry/fleet/_modelled_control.py
+++ b/tests/entry/fleet/_modelled_control.py
@@ -51,8 +51,12 @@
             membership=SimpleNamespace(voters={ReplicaId(1)}, members={}),
         )
         self.leader_address = None
+        self.has_caught_up = True
         self._applied = anyio.Event()
 
+    def knowledge_age_ms(self, now_ms):
+        return 0
+
     async def wait_applied(self):
         await self._applied.wait()
 
--- a/tests/entry/fleet/test_catalog_follower.py
+++ b/tests/entry/fleet/test_catalog_follower.py
@@ -12,7 +12,10 @@
 from cinderway.entry._blackboard import Blackboard, ServiceState
 from cinderway.entry._catalog_board import CatalogBoard
 from cinderway.entry.fleet import _catalog_follower
-from cinderway.entry.fleet._catalog_follower import LEADER_AGE_LIMIT_MS, CatalogFollower
+from cinderway.entry.fleet._catalog_follower import (
+    KNOWLEDGE_AGE_LIMIT_MS,
+    CatalogFollower,
+)
 from cinderway.entry.fleet._replica_choice import LEADERLESS_AVOID_MS
 from cinderway.judgement import EvidenceLog
 from cinderway.limits import RetryBudget
@@ -20,7 +23,7 @@
 from cinderway.wire import Identity
 
 HERE, THERE = (Address(f"10.0.0.{number}:7100") for number in (1, 2))
-STALE_MS = LEADER_AGE_LIMIT_MS + 1
+STALE_MS = KNOWLEDGE_AGE_LIMIT_MS + 1
 
 
 class SilentReplica:
