replication: followers are told of a commit at once

Cause: a follower learned with the leader's next heartbeat, up to 250 ms later, that an entry was committed; if the leader died in between, only after an election. Change: a commit makes the leader's next round of messages due. Before: no follower applies a command while no time passes (CommitTest fails). After: all do.

--- a/src/cinderway/replication/_leader_log.py
+++ b/src/cinderway/replication/_leader_log.py
@@ -160,6 +160,9 @@
         # commit with it (Ongaro, section 3.6.2).
         if index > state.commit_index and state.log.term_at(index) == state.term:
             state.commit_index = index
+            # Told at once: the others apply a change a message's way after it was
+            # acknowledged, not a heartbeat later, and also if the leader dies then.
+            self.is_broadcast_due = True
 
     def _match_index_of(self, replica_id: ReplicaId) -> int:
         progress = self._state.progress.get(replica_id)
--- a/tests/replication/test_core.py
+++ b/tests/replication/test_core.py
@@ -520,6 +520,22 @@
         self.assertFalse(leader.core.is_leader)
 
 
+class CommitTest(ClusterCase):
+    """Followers know of a commit as soon as the leader, less a message's way.
+
+    The leader acknowledged a change and lost power within milliseconds. The others held
+    the change, but only its next heartbeat would have told them that it was committed:
+    they could show it to nobody before they had elected another leader.
+    """
+
+    def test_followers_apply_a_command_without_any_time_passing(self):
+        self.cluster.propose()
+        while self.cluster.messages:
+            self.cluster.deliver_one(self.cluster.messages.pop(0))
+        applied = [node.applied for node in self.cluster.running()]
+        self.assertEqual(applied, [[b"1"]] * 3)
+
+
 class CutsTest(ClusterCase):
     """Focused cases of what the state machine covers at random."""
 
