catalog: a server may start again under its id; heartbeats of any writer are checked

Cause: an id stood for one start. A server that left, crashed while it left, or moved, got no work again or got it at its old address. A heartbeat with no slots, a port of 70,000 or a number over 64 bits went into the catalog and failed each request that met it. Ruled out: names that carry the start's time everywhere: a word on a server's load grows from about 20 to 34 bytes, of which a replica of a hall sends 1.6 MB a second. Change: the registry orders starts by their time and gives a later start of an id a name of its own (id~2), on which everything that is known of servers hangs; entries still send the id that the server told. Words of an earlier start never touch a later one, in any order. Where no start is told the stricter reading holds. Heartbeats are decoded and checked in one module; a DELETE may say which start leaves.

--- a/src/cinderway/catalog/__init__.py
+++ b/src/cinderway/catalog/__init__.py
@@ -47,9 +47,15 @@
     VerdictBatch,
     VerdictLine,
 )
+from cinderway.catalog._heartbeats import (
+    check_server_id,
+    decode_farewell,
+    decode_heartbeat,
+)
 from cinderway.catalog._machine import CatalogMachine, Installed
 from cinderway.catalog._mirror import CatalogMirror
 from cinderway.catalog._registry import (
+    UNTOLD,
     RegisteredServer,
     Registry,
     RegistryChange,
@@ -70,6 +76,7 @@
     "ACCOUNTS_PATH",
     "CATALOG",
     "NO_LOAD",
+    "UNTOLD",
     "AccountIndex",
     "AccountRow",
     "AccountUse",
@@ -116,7 +123,10 @@
     "TakeRetry",
     "VerdictBatch",
     "VerdictLine",
+    "check_server_id",
     "decode_command",
+    "decode_farewell",
+    "decode_heartbeat",
     "decode_sheet",
     "encode_command",
     "pick_service",
--- a/src/cinderway/catalog/_commands.py
+++ b/src/cinderway/catalog/_commands.py
@@ -8,7 +8,7 @@
 
 from cinderway._ids import Address, DataHall, ServerName
 from cinderway.catalog._packing import pack, unpack
-from cinderway.catalog._registry import RegisteredServer
+from cinderway.catalog._registry import UNTOLD, RegisteredServer
 
 
 class InstallSheet(msgspec.Struct, frozen=True, tag="sheet"):
@@ -45,9 +45,13 @@
 
 
 class Deregister(msgspec.Struct, frozen=True, tag="deregister"):
-    """Take a backend server out for good."""
+    """Take a start of a backend server out for good.
+
+    Without `started_at_ms`, as earlier versions wrote it, the newest known one.
+    """
 
     server_id: ServerName
+    started_at_ms: int = UNTOLD
 
 
 class AnnounceReplica(msgspec.Struct, frozen=True, tag="replica"):
--- a/src/cinderway/catalog/_machine.py
+++ b/src/cinderway/catalog/_machine.py
@@ -19,7 +19,12 @@
 )
 from cinderway.catalog._conversation import CatalogUpdate, ReplicaAddress
 from cinderway.catalog._packing import pack
-from cinderway.catalog._registry import RegisteredServer, Registry, RegistryChange
+from cinderway.catalog._registry import (
+    NewestStart,
+    RegisteredServer,
+    Registry,
+    RegistryChange,
+)
 from cinderway.catalog._sheet import RouteSheet, decode_sheet
 
 
@@ -41,6 +46,8 @@
     gone: list[tuple[ServerName, int]]
     replicas: list[AnnounceReplica]
     displaced: list[RegisteredServer] = []
+    # None in snapshots of builds that took an id for one start.
+    newest: dict[ServerName, NewestStart] | None = None
 
 
 class CatalogMachine:
@@ -70,8 +77,9 @@
                 return self._note(index, self.registry.register(server, index))
             case Reinstate(server=server):
                 return self._note(index, self.registry.reinstate(server, index))
-            case Deregister(server_id=server_id):
-                return self._note(index, self.registry.deregister(server_id, index))
+            case Deregister(server_id=server_id, started_at_ms=started_at_ms):
+                change = self.registry.deregister(server_id, started_at_ms, index)
+                return self._note(index, change)
             case AnnounceReplica() as replica:
                 self.replicas[replica.address] = replica
                 return None
@@ -87,6 +95,7 @@
             list(self.registry.gone.items()),
             list(self.replicas.values()),
             list(self.registry.displaced.values()),
+            dict(self.registry.newest),
         )
         return lambda: msgspec.msgpack.encode(state)
 
@@ -99,7 +108,7 @@
         self._sheet_revision = state.sheet_revision
         self.sheet_body, self._packed = state.sheet_body, b""
         self.sheet = decode_sheet(state.sheet_body) if state.sheet_body else None
-        self.registry.restore(state.servers, state.gone, state.displaced)
+        self.registry.restore(state.servers, state.gone, state.displaced, state.newest)
         self._server_revisions = state.server_revisions
         self.replicas = {replica.address: replica for replica in state.replicas}
 
--- a/src/cinderway/control/_catalog_http.py
+++ b/src/cinderway/control/_catalog_http.py
@@ -17,7 +17,6 @@
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._http_body import whole_body
-from cinderway._ids import Address, DataHall, ServerName, ServiceName
 from cinderway.catalog import (
     ACCOUNTS_PATH,
     Deregister,
@@ -25,7 +24,9 @@
     Register,
     RegisteredServer,
     Reinstate,
-    ServerStatus,
+    check_server_id,
+    decode_farewell,
+    decode_heartbeat,
     decode_sheet,
 )
 from cinderway.control._catalog_service import CatalogService
@@ -53,23 +54,6 @@
 UNAVAILABLE = 503
 
 
-class Heartbeat(msgspec.Struct, frozen=True):
-    """What a backend server says of itself; its id stands in the path.
-
-    `sequence` grows with each call. Nothing depends on it: within one start a server
-    only ever moves from active to leaving, whatever the order calls arrive in.
-    """
-
-    service: ServiceName
-    address: Address
-    data_hall: DataHall
-    slots: int
-    status: ServerStatus
-    version: str = ""
-    warmup_left_ms: int = 0
-    sequence: int = 0
-
-
 @dataclass(frozen=True)
 class Answer:
     """An HTTP answer whose body is JSON."""
@@ -79,9 +63,6 @@
     headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
-_heartbeat_decoder = msgspec.json.Decoder(Heartbeat, strict=True)
-
-
 @dataclass
 class CatalogHttp:
     """The ASGI application of one control replica."""
@@ -111,11 +92,11 @@
             case ("GET", path) if path == ACCOUNTS_PATH:
                 return self._list_accounts()
             case ("PUT", path) if path.startswith(SERVERS_PREFIX):
-                server_id = ServerName(path.removeprefix(SERVERS_PREFIX))
+                server_id = check_server_id(path.removeprefix(SERVERS_PREFIX))
                 return await self._put_server(server_id, receive)
             case ("DELETE", path) if path.startswith(SERVERS_PREFIX):
-                server_id = ServerName(path.removeprefix(SERVERS_PREFIX))
-                return await self._delete_server(server_id)
+                server_id = check_server_id(path.removeprefix(SERVERS_PREFIX))
+                return await self._delete_server(server_id, receive)
         return Answer(NOT_FOUND)
 
     async def _put_sheet(self, receive) -> Answer:
@@ -157,10 +138,11 @@
 
     async def _put_server(self, server_id, receive) -> Answer:
         body = await _read_body(receive, HEARTBEAT_LIMIT_BYTES)
-        server = _server_from(server_id, body)
+        server = decode_heartbeat(server_id, body)
         registry = self.service.machine.registry
-        if server_id in registry.displaced:
-            if self.heard.is_alive(server_id, monotonic_ms()):
+        displaced = registry.displaced_start_of(server)
+        if displaced is not None:
+            if self.heard.is_alive(displaced.server_id, monotonic_ms()):
                 await self.service.commands.submit(Reinstate(server))
                 _log_server(server, "reinstated")
         elif not registry.change_of(server).is_empty:
@@ -168,43 +150,30 @@
             _log_server(server, server.status.value)
         return Answer(OK)
 
-    async def _delete_server(self, server_id: ServerName) -> Answer:
-        if not self.service.machine.registry.has_left(server_id):
-            await self.service.commands.submit(Deregister(server_id))
-            logger.info("backend server %s is gone", server_id)
+    async def _delete_server(self, server_id, receive) -> Answer:
+        body = await _read_body(receive, HEARTBEAT_LIMIT_BYTES)
+        started_at_ms = decode_farewell(server_id, body)
+        if not self.service.machine.registry.has_left(server_id, started_at_ms):
+            await self.service.commands.submit(Deregister(server_id, started_at_ms))
+            logger.info(
+                "backend server %s, %s, is gone", server_id, _start_text(started_at_ms)
+            )
         return Answer(OK)
 
 
 def _log_server(server: RegisteredServer, what: str) -> None:
     logger.info(
-        "backend server %s of %s at %s is %s",
+        "backend server %s of %s at %s, %s, is %s",
         server.server_id,
         server.service,
         server.address,
+        _start_text(server.started_at_ms),
         what,
     )
 
 
-def _server_from(server_id: ServerName, body: bytes) -> RegisteredServer:
-    try:
-        said = _heartbeat_decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise CinderwayError(
-            ErrorCode.HEARTBEAT_INVALID,
-            f"the heartbeat cannot be read: {error}",
-            step=Step.RECEIVE,
-            peer=server_id,
-        ) from error
-    return RegisteredServer(
-        server_id,
-        said.service,
-        said.address,
-        said.data_hall,
-        said.slots,
-        said.status,
-        said.version,
-        said.warmup_left_ms,
-    )
+def _start_text(started_at_ms: int) -> str:
+    return f"started at {started_at_ms}" if started_at_ms else "start not told"
 
 
 async def _read_body(receive, limit_bytes: int) -> bytes:
--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -275,9 +275,21 @@
     return objectives_ms
 
 
+@dataclass(frozen=True)
+class _RegisteredRow(ServerRow):
+    """A row whose name stands for one start of a server, and may not be its own."""
+
+    told_id: ServerName = ServerName("")
+
+    @property
+    def own_name(self) -> ServerName:
+        """The name by which the server knows itself."""
+        return self.told_id
+
+
 def _row_of(server: RegisteredServer, connection_limit: int) -> ServerRow:
     is_leaving = server.status is Status.LEAVING
-    return ServerRow(
+    return _RegisteredRow(
         name=server.server_id,
         service=server.service,
         data_hall=DataHall(server.data_hall),
@@ -285,4 +297,5 @@
         slots=server.slots,
         connection_limit=connection_limit,
         state=ListedState.LEAVING if is_leaving else ListedState.ACTIVE,
+        told_id=server.told_id,
     )
--- a/src/cinderway/entry/servers/_dispatch.py
+++ b/src/cinderway/entry/servers/_dispatch.py
@@ -181,7 +181,7 @@
                     attempt_id,
                     deadline_ms,
                     fresh=is_fresh,
-                    expected=server.row.name,
+                    expected=server.row.own_name,
                 )
         except TimeoutError as error:
             self.evidence.fail(attempt, Bad.OVERDUE)
--- a/src/cinderway/table/_rows.py
+++ b/src/cinderway/table/_rows.py
@@ -201,6 +201,11 @@
         """Whether the table lets this server have new requests."""
         return self.state is ServerState.ACTIVE and self.weight > 0
 
+    @property
+    def own_name(self) -> ServerName:
+        """The name by which the server knows itself."""
+        return self.name
+
 
 ROW_TYPES: dict[Sheet, type] = {
     Sheet.SERVICES: ServiceRow,
--- a/standins/catalog_fleet.py
+++ b/standins/catalog_fleet.py
@@ -70,6 +70,8 @@
         self.headers: dict[str, str] = {}
         self.behave = lambda attempt: 200
         self.sequence = 0
+        # When this start began, by its own clock; 0 where it does not say.
+        self.started_at_ms = 0
         stand_in = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -104,11 +106,17 @@
             "version": "v1",
             "warmup_left_ms": 0,
             "sequence": self.sequence,
+            "started_at_ms": self.started_at_ms,
             **fields,
         }
         body = json.dumps(said).encode()
         return call(control, "PUT", f"/v1/servers/{self.server_id}", body)
 
+    def leave(self, control: str) -> Reply:
+        """Tell a control replica that this start has left for good."""
+        body = json.dumps({"started_at_ms": self.started_at_ms}).encode()
+        return call(control, "DELETE", f"/v1/servers/{self.server_id}", body)
+
     def _serve(self, handler: BaseHTTPRequestHandler) -> None:
         length = int(handler.headers.get("content-length") or 0)
         body = handler.rfile.read(length)
--- a/tests/system/test_catalog.py
+++ b/tests/system/test_catalog.py
@@ -260,6 +260,43 @@
         self.assertEqual(self.servers["sub1"].runs, [])
 
 
+class RestartedServerTests(CatalogCase):
+    """Servers crash and start again under the id that they had."""
+
+    def start_again(self, name, started_at_ms):
+        """Stop a server and start another under its id, at an address of its own."""
+        former = self.servers[name]
+        former.stop()
+        later = RegisteredServer(former.server_id, former.service)
+        later.started_at_ms = started_at_ms
+        self.addCleanup(later.stop)
+        self.servers[name] = later
+        return former, later
+
+    def test_they_get_work_again_and_the_start_that_is_over_gets_none(self):
+        for name in ("sub1", "sub2"):
+            self.servers[name].started_at_ms = 100
+            self.fleet.register(self.servers[name])
+            self.fleet.register(self.servers[name], "leaving")
+            former, later = self.start_again(name, 200)
+            self.fleet.register(later)
+            # What a cut held up comes after the later start has registered.
+            self.fleet.register(former, "leaving")
+        self.ask_until(200, "/once/x", "again", "POST")
+        for number in range(4):
+            self.assertEqual(self.ask("/once/x", f"r{number}", "POST").status, 200)
+            self.assertEqual(self.runs(f"r{number}"), 1)
+
+    def test_one_that_left_for_good_is_back_when_it_starts_again(self):
+        for name in ("sub1", "sub2"):
+            self.servers[name].started_at_ms = 100
+            self.fleet.register(self.servers[name])
+            self.servers[name].leave(self.fleet.controls[0])
+            _, later = self.start_again(name, 200)
+            self.fleet.register(later)
+        self.ask_until(200, "/once/x", "back", "POST")
+
+
 class LossTests(CatalogCase):
     def test_entries_serve_while_control_is_away(self):
         for number in range(3):
