control, cli: registered servers are listed with their starts; refused heartbeats are counted and told once

Cause: an operator could not see which start of a server is known, and a writer whose heartbeats are refused would write a line every second and a half. Change: GET /v1/servers and cinderway servers; a counter and one line for each reason.

--- a/src/cinderway/_cli/_main.py
+++ b/src/cinderway/_cli/_main.py
@@ -11,6 +11,7 @@
 from cinderway._cli._experiment import experiment
 from cinderway._cli._options import exit_on_error, with_settings
 from cinderway._cli._report import report
+from cinderway._cli._servers import servers
 from cinderway._cli._table import table
 from cinderway._ids import Address
 from cinderway._launch import run_daemon
@@ -32,6 +33,7 @@
 app.add_typer(report, name="report")
 app.command()(experiment)
 app.command()(accounts)
+app.command()(servers)
 
 Folder = Annotated[Path, typer.Option(help="The new replica's data folder.")]
 Listen = Annotated[str, typer.Option(help="The new replica's IP-number:port.")]
--- /dev/null
+++ b/src/cinderway/_cli/_replica_http.py
@@ -0,0 +1,39 @@
+"""Ask one control replica's HTTP interface for what it lists."""
+
+from typing import Annotated
+
+import httpcore
+import typer
+
+from cinderway._errors import CinderwayError, ErrorCode, Step
+
+OK = 200
+TIMEOUT_S = 2.0
+
+Replicas = Annotated[
+    list[str], typer.Argument(help="IP-number:port of replicas' HTTP interfaces.")
+]
+
+
+def read_from(replica: str, path: str) -> bytes:
+    """Return what a replica answers; raises CinderwayError if it does not with 200."""
+    limits = dict.fromkeys(("connect", "read", "write", "pool"), TIMEOUT_S)
+    try:
+        answer = httpcore.request(
+            "GET", f"http://{replica}{path}", extensions={"timeout": limits}
+        )
+    except (httpcore.NetworkError, httpcore.TimeoutException) as error:
+        raise CinderwayError(
+            ErrorCode.PEER_UNREACHABLE,
+            f"the replica does not answer: {str(error) or type(error).__name__}",
+            step=Step.CONNECT,
+            peer=replica,
+        ) from error
+    if answer.status != OK:
+        raise CinderwayError(
+            ErrorCode.PEER_UNREACHABLE,
+            f"the replica answered {answer.status}",
+            step=Step.RECEIVE,
+            peer=replica,
+        )
+    return answer.content
--- a/src/cinderway/catalog/__init__.py
+++ b/src/cinderway/catalog/__init__.py
@@ -55,6 +55,7 @@
 from cinderway.catalog._machine import CatalogMachine, Installed
 from cinderway.catalog._mirror import CatalogMirror
 from cinderway.catalog._registry import (
+    SERVERS_PATH,
     UNTOLD,
     RegisteredServer,
     Registry,
@@ -76,6 +77,7 @@
     "ACCOUNTS_PATH",
     "CATALOG",
     "NO_LOAD",
+    "SERVERS_PATH",
     "UNTOLD",
     "AccountIndex",
     "AccountRow",
--- a/src/cinderway/catalog/_registry.py
+++ b/src/cinderway/catalog/_registry.py
@@ -27,6 +27,8 @@
 GONE_KEPT = 4_096
 # Of a start that its server does not tell.
 UNTOLD = 0
+# Where control lists registered servers, over HTTP.
+SERVERS_PATH = "/v1/servers"
 
 
 class ServerStatus(Enum):
--- a/src/cinderway/control/_catalog_daemon.py
+++ b/src/cinderway/control/_catalog_daemon.py
@@ -95,9 +95,10 @@
         tasks.start_soon(watch.run)
         tasks.start_soon(node.run)
         tasks.start_soon(service.run)
-        await tasks.start(serve_http, settings.http_listen, CatalogHttp(service))
+        http = CatalogHttp(service)
+        await tasks.start(serve_http, settings.http_listen, http)
         await start_operators(
-            tasks, settings.operators_listen, lambda: _gauges(node, service)
+            tasks, settings.operators_listen, lambda: _gauges(node, service, http)
         )
         await wait_for_stop()
         logger.info("stopping")
@@ -158,7 +159,7 @@
     )
 
 
-def _gauges(node: Node, service: CatalogService) -> dict[str, float]:
+def _gauges(node: Node, service: CatalogService, http: CatalogHttp) -> dict[str, float]:
     core = node.core
     sheet = service.machine.sheet
     return {
@@ -169,6 +170,7 @@
         "replica_syncs": float(node.counters.syncs),
         "knowledge_age_seconds": service.knowledge_age_ms() / 1000,
         "catalog_revision": float(service.machine.revision),
+        "heartbeats_refused": float(http.refused.count),
         "catalog_servers": float(len(service.machine.registry.servers)),
         "sheet_version": float(sheet.version if sheet else 0),
         "accounts_in_use": float(service.allowances.accounts_in_use),
--- a/src/cinderway/control/_catalog_http.py
+++ b/src/cinderway/control/_catalog_http.py
@@ -4,6 +4,7 @@
     GET    /v1/sheet         the newest sheet, by the leader only; others redirect
     PUT    /v1/servers/ID    a backend server's heartbeat
     DELETE /v1/servers/ID    a backend server leaves for good
+    GET    /v1/servers       the registered servers and their starts, as known here
     GET    /v1/accounts      client accounts and their use by this replica's entries
 
 An answer of 4xx is final; after 503 the call may be repeated here or elsewhere.
@@ -17,8 +18,10 @@
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._http_body import whole_body
+from cinderway._ids import ServerName
 from cinderway.catalog import (
     ACCOUNTS_PATH,
+    SERVERS_PATH,
     Deregister,
     InstallSheet,
     Register,
@@ -31,11 +34,12 @@
 )
 from cinderway.control._catalog_service import CatalogService
 from cinderway.control._displaced_heard import DisplacedHeard
+from cinderway.control._refused_heartbeats import RefusedHeartbeats
 
 logger = logging.getLogger(__name__)
 
 SHEET_PATH = "/v1/sheet"
-SERVERS_PREFIX = "/v1/servers/"
+SERVERS_PREFIX = f"{SERVERS_PATH}/"
 SHEET_LIMIT_BYTES = 32 * 1024 * 1024
 HEARTBEAT_LIMIT_BYTES = 64 * 1024
 # Within the second that callers wait for an answer.
@@ -69,6 +73,7 @@
 
     service: CatalogService
     heard: DisplacedHeard = field(default_factory=DisplacedHeard)
+    refused: RefusedHeartbeats = field(default_factory=RefusedHeartbeats)
 
     async def __call__(self, scope, receive, send) -> None:
         """Serve one request."""
@@ -79,10 +84,23 @@
             answer = await self._answer(call, receive)
         except CinderwayError as error:
             answer = _refusal(error)
-            if answer.status != UNAVAILABLE or call[1] == SHEET_PATH:
+            if self._is_news(call, answer, error):
                 logger.info("%s %s: %d, %s", *call, answer.status, error)
         await _respond(send, answer)
 
+    def _is_news(
+        self, call: tuple[str, str], answer: Answer, error: CinderwayError
+    ) -> bool:
+        """Whether a refusal is worth a line: servers repeat their calls for ever."""
+        _, path = call
+        if not path.startswith(SERVERS_PREFIX):
+            return True
+        if answer.status == UNAVAILABLE:
+            return False
+        return self.refused.is_news(
+            ServerName(path.removeprefix(SERVERS_PREFIX)), str(error)
+        )
+
     async def _answer(self, call, receive) -> Answer:
         match call:
             case ("PUT", path) if path == SHEET_PATH:
@@ -91,6 +109,8 @@
                 return await self._get_sheet()
             case ("GET", path) if path == ACCOUNTS_PATH:
                 return self._list_accounts()
+            case ("GET", path) if path == SERVERS_PATH:
+                return self._list_servers()
             case ("PUT", path) if path.startswith(SERVERS_PREFIX):
                 server_id = check_server_id(path.removeprefix(SERVERS_PREFIX))
                 return await self._put_server(server_id, receive)
@@ -126,6 +146,10 @@
         found = self.service.allowances.uses(monotonic_ms())
         return Answer(OK, msgspec.json.encode(found))
 
+    def _list_servers(self) -> Answer:
+        found = list(self.service.machine.registry.servers.values())
+        return Answer(OK, msgspec.json.encode(found))
+
     def _redirect(self) -> Answer:
         leader = self.service.machine.replicas.get(self.service.node.leader_address)
         if leader is None:
--- a/tests/control/test_catalog_http.py
+++ b/tests/control/test_catalog_http.py
@@ -38,7 +38,7 @@
         service = SimpleNamespace(machine=self.machine, commands=self.commands)
         self.http = CatalogHttp(service)
 
-    def call(self, method, server_id):
+    def call(self, method, server_id, **fields):
         body = json.dumps(
             {
                 "service": "lookup",
@@ -46,6 +46,7 @@
                 "data_hall": "suva",
                 "slots": 2,
                 "status": "active",
+                **fields,
             }
         ).encode()
         sent = []
@@ -87,3 +88,22 @@
         self.assertEqual(
             self.commands.submitted, ["Register", "Register", "Deregister"]
         )
+
+    def test_registered_servers_are_listed_with_their_starts(self):
+        self.call("PUT", "i-1")
+        listed = json.loads(
+            anyio.run(self.http._answer, ("GET", "/v1/servers"), None).body
+        )
+        found = [(row["server_id"], row["started_at_ms"]) for row in listed]
+        self.assertEqual(found, [("i-1", 0)])
+
+    def test_a_heartbeat_that_says_what_no_server_is_moves_nobody_and_is_told_once(
+        self,
+    ):
+        self.call("PUT", "i-1")
+        with self.assertLogs("cinderway", "INFO") as logs:
+            for _ in range(3):
+                self.assertEqual(self.call("PUT", "i-2", slots="two"), 400)
+        self.assertEqual(self.servers(), ["i-1"])
+        self.assertEqual(self.http.refused.count, 3)
+        self.assertEqual(len(logs.output), 1)
--- /dev/null
+++ b/tests/control/test_refused_heartbeats.py
@@ -0,0 +1,24 @@
+import unittest
+
+from cinderway._ids import ServerName
+from cinderway.control._refused_heartbeats import SERVERS_KEPT, RefusedHeartbeats
+
+
+class RefusedHeartbeatsTests(unittest.TestCase):
+    def setUp(self):
+        self.refused = RefusedHeartbeats()
+
+    def test_a_reason_is_said_once_of_each_server(self):
+        for server in ("i-1", "i-2"):
+            self.assertTrue(self.refused.is_news(ServerName(server), "no slots"))
+            self.assertFalse(self.refused.is_news(ServerName(server), "no slots"))
+        self.assertEqual(self.refused.count, 4)
+
+    def test_another_reason_is_said(self):
+        self.refused.is_news(ServerName("i-1"), "no slots")
+        self.assertTrue(self.refused.is_news(ServerName("i-1"), "no address"))
+
+    def test_what_is_remembered_is_bounded(self):
+        for number in range(3 * SERVERS_KEPT):
+            self.refused.is_news(ServerName(f"i-{number}"), "no slots")
+        self.assertEqual(len(self.refused._said), SERVERS_KEPT)
