wire, catalog: what cannot be read ends one connection or is passed over, and nothing else

Cause: found by reading, for words of other writers: lists of different lengths, an update or a command that cannot be decoded raised errors outside of our own, which ended a replica, or an entry's follower, and a replica again at each start. Change: an unforeseen error ends its connection, with a line; an update is read whole before any of it is taken; a command that cannot be read is passed over, with a line, on all replicas of a build. Before: the three tests fail (ExceptionGroup, DecodeError). After: they pass.

--- a/src/cinderway/catalog/_machine.py
+++ b/src/cinderway/catalog/_machine.py
@@ -4,6 +4,7 @@
 replicas at one revision hold the same catalog, and revisions never go back.
 """
 
+import logging
 from collections.abc import Callable
 
 import msgspec
@@ -27,6 +28,8 @@
 )
 from cinderway.catalog._sheet import RouteSheet, decode_sheet
 
+logger = logging.getLogger(__name__)
+
 
 class Installed(msgspec.Struct, frozen=True):
     """What a sheet's installation came to: the version now in force."""
@@ -69,9 +72,18 @@
         return self.sheet is not None
 
     def apply(self, index: int, data: bytes) -> Installed | RegistryChange | None:
-        """Carry out a committed command."""
-        match decode_command(data):
-            case InstallSheet() as command:
+        """Carry out a committed command; one that cannot be read changes nothing.
+
+        Replicas of one build agree on what they cannot read. One that ended there would
+        end again at each start.
+        """
+        try:
+            command = decode_command(data)
+        except msgspec.MsgspecError as error:
+            logger.error("entry %d of the log is passed over: %s", index, error)
+            return None
+        match command:
+            case InstallSheet():
                 return self._install(index, command.text)
             case Register(server=server):
                 return self._note(index, self.registry.register(server, index))
--- a/src/cinderway/catalog/_mirror.py
+++ b/src/cinderway/catalog/_mirror.py
@@ -1,7 +1,10 @@
 """An entry's copy of the catalog. Pure; it never goes back to an older revision."""
 
+import zlib
+
 import msgspec
 
+from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import ServerName
 from cinderway.catalog._conversation import CatalogUpdate
 from cinderway.catalog._packing import unpack
@@ -20,20 +23,38 @@
         self.servers: dict[ServerName, RegisteredServer] = {}
 
     def install(self, update: CatalogUpdate) -> bool:
-        """Take an update; False if it is not newer or does not fit what is held."""
+        """Take an update; False if it is not newer or does not fit what is held.
+
+        Raises CinderwayError, and changes nothing, if it cannot be read.
+        """
         if update.revision <= self.revision or update.base_revision > self.revision:
             return False
+        sheet, servers = self._read(update)
         if update.base_revision == 0:
             self.servers = {}
-        if update.packed_sheet:
-            self.sheet = self._newer(decode_sheet(unpack(update.packed_sheet)))
+        self.sheet = sheet
         for server_id in update.gone:
             self.servers.pop(server_id, None)
-        for server in _servers_decoder.decode(update.servers):
+        for server in servers:
             self.servers[server.server_id] = server
         self.revision = update.revision
         return True
 
+    def _read(
+        self, update: CatalogUpdate
+    ) -> tuple[RouteSheet | None, list[RegisteredServer]]:
+        try:
+            servers = _servers_decoder.decode(update.servers)
+            if not update.packed_sheet:
+                return self.sheet, servers
+            return self._newer(decode_sheet(unpack(update.packed_sheet))), servers
+        except (msgspec.MsgspecError, zlib.error) as error:
+            raise CinderwayError(
+                ErrorCode.FRAME_INVALID,
+                f"the update to catalog {update.revision} cannot be read: {error}",
+                step=Step.RECEIVE,
+            ) from error
+
     def _newer(self, sheet: RouteSheet) -> RouteSheet:
         if self.sheet is not None and sheet.version < self.sheet.version:
             return self.sheet
--- a/src/cinderway/wire/_server.py
+++ b/src/cinderway/wire/_server.py
@@ -47,6 +47,9 @@
                 logger.debug("connection ended: %s", error)
             except TimeoutError:
                 logger.debug("connection ended: no hello in time")
+            except Exception:
+                # What one peer says must not end the process for all others.
+                logger.exception("a connection ended by an error that nobody foresaw")
 
     host, port = split_address(address)
     try:
--- a/tests/catalog/test_machine.py
+++ b/tests/catalog/test_machine.py
@@ -4,10 +4,12 @@
 
 from hypothesis import given, strategies as st
 
+from cinderway._errors import CinderwayError
 from cinderway._ids import Address, DataHall, ServerName, ServiceName
 from cinderway.catalog import (
     CatalogMachine,
     CatalogMirror,
+    CatalogUpdate,
     Deregister,
     InstallSheet,
     Register,
@@ -171,6 +173,30 @@
         self.assertEqual(mirror.servers, {})
 
 
+class UnreadableTests(unittest.TestCase):
+    """What another build wrote, or what was damaged, ends nothing."""
+
+    def test_a_command_that_cannot_be_read_is_passed_over(self):
+        catalog = Catalog()
+        catalog.apply(Register(server(1)))
+        with self.assertLogs("cinderway", "ERROR"):
+            catalog.machine.apply(2, b"\x81\xa4type\xa7unknown")
+            catalog.machine.apply(3, b"\xc1")
+        self.assertEqual(list(catalog.machine.registry.servers), ["i-1"])
+        self.assertEqual(catalog.machine.revision, 1)
+
+    @given(st.binary(max_size=60), st.binary(max_size=60))
+    def test_an_update_that_cannot_be_read_changes_nothing(self, sheet, servers):
+        catalog, mirror = Catalog(), CatalogMirror()
+        catalog.apply(Register(server(1)))
+        mirror.install(catalog.machine.update_since(0))
+        update = CatalogUpdate(1, 2, sheet, servers, [ServerName("i-1")])
+        try:
+            mirror.install(update)
+        except CinderwayError:
+            self.assertEqual((mirror.revision, list(mirror.servers)), (1, ["i-1"]))
+
+
 class PackedSheetTests(unittest.TestCase):
     def test_what_is_read_back_is_what_the_operator_sent(self):
         catalog = Catalog()
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -178,6 +178,21 @@
 
         self.assertEqual(with_server(use), Done())
 
+    def test_an_error_that_nobody_foresaw_ends_that_connection_only(self):
+        async def fail_once(connection, name):
+            if name == "odd":
+                raise ValueError("what no message should hold")
+            await serve(connection, name)
+
+        async def use(address):
+            odd = await connect(address, TABLE, Identity("odd", KEY))
+            with self.assertRaises(CinderwayError):
+                await odd.receive()
+            return await call_once(address, TABLE, SERVER, ReadTable(), TIMEOUT_S)
+
+        with self.assertLogs("cinderway", "ERROR"):
+            self.assertEqual(with_server(use, fail_once), Done())
+
     def test_unreachable_peer_is_named(self):
         async def use(address):
             return await connect("127.0.0.1:1", TABLE, SERVER)
