wire: lists that are sent often travel packed

A frame of 40 servers' loads takes 0.49 ms to read field by field, and an entry gets up to 34 of them a second. Ruled out: another codec for all frames (the rest is sent seldom); MessagePack by names (1.9 KB in place of 1.3 KB, and bytes between halls are dear). Change: ServerLoads, SuspectServers, VerdictBatch, EvidenceBatch and the two messages on allowances hold MessagePack rows in one field of their frame; frames of earlier builds are read. Before: 0.49 ms to read, 0.40 ms to write, 1,336 bytes (40 loads, mean of 2,000, one core). After: 0.03 ms, 0.04 ms, 1,024 bytes.

--- a/src/cinderway/catalog/_conversation.py
+++ b/src/cinderway/catalog/_conversation.py
@@ -14,7 +14,14 @@
     ServiceName,
 )
 from cinderway.limits import TokenAsk
-from cinderway.wire import Conversation, Done, Failure, Message
+from cinderway.wire import (
+    Conversation,
+    Done,
+    Failure,
+    Message,
+    PackedMessage,
+    PackedRow,
+)
 
 
 class ReplicaAddress(Message, frozen=True):
@@ -84,7 +91,7 @@
     entries: int
 
 
-class EvidenceBatch(Message, frozen=True):
+class EvidenceBatch(PackedMessage, frozen=True):
     """One entry's observations of backend servers, encoded as MessagePack.
 
     `first_requests` counts, by service, the requests that came in since the last
@@ -114,7 +121,7 @@
     is_granted: bool
 
 
-class VerdictLine(Message, frozen=True):
+class VerdictLine(PackedRow, frozen=True):
     """What a replica judges of one server from its entries' observations."""
 
     service: ServiceName
@@ -125,7 +132,7 @@
     score: float
 
 
-class ServicePace(Message, frozen=True):
+class ServicePace(PackedRow, frozen=True):
     """How long a service takes to answer, as the own hall's entries see it.
 
     Half of the answers come within `usual_ms`, nine tenths within `slow_ms`, and 19 of
@@ -138,7 +145,7 @@
     late_ms: float
 
 
-class VerdictBatch(Message, frozen=True):
+class VerdictBatch(PackedMessage, frozen=True):
     """All servers that are not plainly healthy, and how long services take.
 
     It holds until the next batch or until the conversation ends.
@@ -148,7 +155,7 @@
     paces: list[ServicePace]
 
 
-class SuspectServers(Message, frozen=True):
+class SuspectServers(PackedMessage, frozen=True):
     """Servers that have just failed a request, and for how long to avoid each.
 
     With no time left, a server is suspect no longer.
@@ -162,7 +169,7 @@
 NO_LOAD = -1.0
 
 
-class ServerLoad(Message, frozen=True):
+class ServerLoad(PackedRow, frozen=True):
     """How full a server is, as a share of its slots, requests that wait included.
 
     `load` is NO_LOAD where the teller has heard nothing new from the server.
@@ -176,7 +183,7 @@
     in_flight: int = 0
 
 
-class ServerLoads(Message, frozen=True):
+class ServerLoads(PackedMessage, frozen=True):
     """What an entry has just come to know of servers' loads.
 
     It tells of servers that it has just sent a request to or had an answer from; its
@@ -192,7 +199,7 @@
     addresses: list[Address]
 
 
-class HeldAllowance(Message, frozen=True):
+class HeldAllowance(PackedRow, frozen=True):
     """What a holder has of one account's tokens, and what it would like.
 
     `used` counts those used since it last said so; `needed` are for requests that wait,
@@ -216,7 +223,7 @@
         return TokenAsk(self.used, self.held, self.needed, self.wanted)
 
 
-class AskAllowances(Message, frozen=True):
+class AskAllowances(PackedMessage, frozen=True):
     """Tell a replica of tokens used and held, and ask for more.
 
     `replica` is the address of the one that asks, if a replica would borrow.
@@ -226,7 +233,7 @@
     replica: Address = Address("")
 
 
-class GrantedAllowance(Message, frozen=True):
+class GrantedAllowance(PackedRow, frozen=True):
     """How many tokens of one account were added.
 
     Where these are fewer than needed, `room_in_ms` says when there may be more.
@@ -237,7 +244,7 @@
     room_in_ms: int
 
 
-class GrantAllowances(Message, frozen=True):
+class GrantAllowances(PackedMessage, frozen=True):
     """A replica's answer to AskAllowances, line by line.
 
     All that is held may be used for `lease_ms` from when the asker asked. Limits count
--- a/src/cinderway/wire/__init__.py
+++ b/src/cinderway/wire/__init__.py
@@ -5,7 +5,13 @@
 the shared key before any message is read.
 """
 
-from cinderway.wire._codec import Conversation, Envelope, Message
+from cinderway.wire._codec import (
+    Conversation,
+    Envelope,
+    Message,
+    PackedMessage,
+    PackedRow,
+)
 from cinderway.wire._connection import (
     Connection,
     Identity,
@@ -27,6 +33,8 @@
     "GroupClient",
     "Identity",
     "Message",
+    "PackedMessage",
+    "PackedRow",
     "Route",
     "RpcClient",
     "call_once",
--- a/src/cinderway/wire/_codec.py
+++ b/src/cinderway/wire/_codec.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from functools import cached_property
 from pathlib import Path
+from typing import Any, get_args, get_origin
 
 import capnp
 import msgspec
@@ -14,12 +15,28 @@
 SCHEMA_FOLDER = Path(__file__).parent / "schemas"
 # A reader may not walk more words than a frame could honestly hold.
 TRAVERSAL_LIMIT_WORDS = 64 * 1024 * 1024
+# The field of a schema that holds a packed message.
+PACKED = "packed"
 
 
 class Message(msgspec.Struct, frozen=True, rename="camel"):
     """Base of all messages: immutable, with Cap'n Proto's field names on the wire."""
 
 
+class PackedRow(msgspec.Struct, frozen=True, array_like=True, rename="camel"):
+    """Base of rows in a packed message: their values travel without names."""
+
+
+class PackedMessage(Message, frozen=True, array_like=True):
+    """A message that travels as MessagePack in the `packed` field of its frame.
+
+    For lists that are sent many times a second: 40 servers' loads are read in 0.03 ms
+    in place of 0.49 ms and written in 0.04 ms in place of 0.40 ms, and take 1.0 KB in
+    place of 1.3 KB (means of 2,000 on one core). The other fields in its schema are
+    those of builds before; they are read where `packed` is empty.
+    """
+
+
 @dataclass(frozen=True)
 class Envelope:
     """A message with the number that ties an answer to its call; 0 is one-way."""
@@ -46,7 +63,10 @@
 
     def encode(self, message: Message, call_id: int = 0) -> bytes:
         """Return the frame's payload for a message of this conversation."""
-        fields = msgspec.to_builtins(message, builtin_types=(bytes,))
+        if isinstance(message, PackedMessage):
+            fields = {PACKED: msgspec.msgpack.encode(message)}
+        else:
+            fields = msgspec.to_builtins(message, builtin_types=(bytes,))
         frame = self._frame_schema.new_message(
             callId=call_id, **{_arm_of(type(message)): fields}
         )
@@ -63,12 +83,9 @@
                 payload, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
             ) as frame:
                 arm = frame.which()
-                fields = getattr(frame, arm).to_dict()
                 call_id = frame.callId
-            message = msgspec.convert(
-                fields, self._types_by_arm[str(arm)], builtin_types=(bytes,)
-            )
-        except (capnp.KjException, KeyError, ValueError) as error:
+                message = self._message_in(getattr(frame, arm), str(arm))
+        except (capnp.KjException, KeyError, ValueError, msgspec.MsgspecError) as error:
             raise CinderwayError(
                 ErrorCode.FRAME_INVALID,
                 f"a frame of {len(payload)} bytes is no {self.name} message: {error}",
@@ -77,6 +94,30 @@
             ) from error
         return Envelope(call_id, message)
 
+    def _message_in(self, content, arm: str) -> Message:
+        kind = self._types_by_arm[arm]
+        if issubclass(kind, PackedMessage) and content.packed:
+            return msgspec.msgpack.decode(content.packed, type=kind)
+        fields = content.to_dict()
+        if issubclass(kind, PackedMessage):
+            return _read_by_name(fields, kind)
+        return msgspec.convert(fields, kind, builtin_types=(bytes,))
+
+
+def _read_by_name(value: Any, kind: Any) -> Any:
+    """Return a packed message, or a part of it, as builds before sent it."""
+    if get_origin(kind) is list:
+        (item_kind,) = get_args(kind)
+        return [_read_by_name(item, item_kind) for item in value]
+    if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
+        return kind(
+            **{
+                field.name: _read_by_name(value[field.encode_name], field.type)
+                for field in msgspec.structs.fields(kind)
+            }
+        )
+    return msgspec.convert(value, kind, builtin_types=(bytes,))
+
 
 def _arm_of(message_type: type) -> str:
     name = message_type.__name__
--- a/src/cinderway/wire/schemas/catalog.capnp
+++ b/src/cinderway/wire/schemas/catalog.capnp
@@ -1,5 +1,7 @@
 @0xb7d1e64a0c93f258;
 # Entries and control replicas about the service catalog.
+# Where a message has a field `packed`, that holds all of it as MessagePack; the fields
+# before it are read of builds that sent them one by one.
 
 struct Frame {
   callId @0 :UInt64;
@@ -72,6 +74,7 @@
   servers @2 :Data;
   services @3 :List(Text);
   firstRequests @4 :List(UInt32);
+  packed @5 :Data;
 }
 
 struct TakeRetry {
@@ -102,11 +105,13 @@
 struct VerdictBatch {
   lines @0 :List(VerdictLine);
   paces @1 :List(ServicePace);
+  packed @2 :Data;
 }
 
 struct SuspectServers {
   servers @0 :List(Text);
   forMs @1 :List(UInt32);
+  packed @2 :Data;
 }
 
 struct ServerLoad {
@@ -117,6 +122,7 @@
 
 struct ServerLoads {
   servers @0 :List(ServerLoad);
+  packed @1 :Data;
 }
 
 struct HallEntries {
@@ -134,6 +140,7 @@
 struct AskAllowances {
   lines @0 :List(HeldAllowance);
   replica @1 :Text;
+  packed @2 :Data;
 }
 
 struct GrantedAllowance {
@@ -146,6 +153,7 @@
   lines @0 :List(GrantedAllowance);
   leaseMs @1 :UInt32;
   windowMs @2 :UInt32;
+  packed @3 :Data;
 }
 
 struct SubmitCommand {
