--- a/src/cinderway/entry/fleet/_catalog_follower.py
+++ b/src/cinderway/entry/fleet/_catalog_follower.py
@@ -227,11 +227,16 @@
             raise failure
 
     async def _listen(self, connection: Connection, address: Address) -> None:
-        while self._choice.is_home(address) or not self._standby.is_current_at_home:
-            with anyio.fail_after(SILENT_LIMIT_S):
+        """Take what the replica tells; raise TimeoutError when it is silent."""
+        # One scope whose deadline moves: one for each message costs as much as reading.
+        with anyio.fail_after(SILENT_LIMIT_S) as listening:
+            while self._choice.is_home(address) or (
+                not self._standby.is_current_at_home
+            ):
                 envelope = await connection.receive()
-            self._heard_at_ms = now_ms = monotonic_ms()
-            self._take(envelope, address, now_ms)
+                listening.deadline = anyio.current_time() + SILENT_LIMIT_S
+                self._heard_at_ms = now_ms = monotonic_ms()
+                self._take(envelope, address, now_ms)
 
     def _take(self, envelope: Envelope, address: Address, now_ms: int) -> None:
         message = envelope.message
--- a/tests/control/test_follower.py
+++ b/tests/control/test_follower.py
@@ -11,7 +11,8 @@
     InstallSheet,
     encode_command,
 )
-from cinderway.control._follower import Follower
+from cinderway.control._follower import HEARTBEAT_S, UPDATE_PAUSE_MS, Follower
+from cinderway.experiment._virtual_time import run_in_virtual_time
 
 
 class Sent:
@@ -20,8 +21,11 @@
     def __init__(self):
         self.messages = []
         self.frames = []
+        self.takes_nothing = False
 
     async def send(self, message, call_id=0):
+        if self.takes_nothing:
+            await anyio.sleep_forever()
         self.messages.append(message)
 
     async def send_encoded(self, payloads):
@@ -34,9 +38,7 @@
 class FollowerTests(unittest.TestCase):
     def setUp(self):
         self.machine = CatalogMachine()
-        content = {"version": 1, "routes": [], "services": []}
-        body = json.dumps(content).encode()
-        self.machine.apply(1, encode_command(InstallSheet(body)))
+        self.machine.apply(1, encode_command(self.sheet(1)))
         self.has_caught_up = False
         self.sent = Sent()
         self.follower = Follower(
@@ -49,6 +51,11 @@
             lambda: self.has_caught_up,
         )
 
+    @staticmethod
+    def sheet(version):
+        content = {"version": version, "routes": [], "services": []}
+        return InstallSheet(json.dumps(content).encode())
+
     async def feed_until_blocked(self, *before):
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.follower.feed)
@@ -81,10 +88,44 @@
         anyio.run(self.feed_until_blocked, tell, tell)
         self.assertEqual(self.sent.frames, [b"verdicts"])
 
+    async def tell_news_all_the_time(self):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.follower.feed)
+            for _ in range(100):
+                self.follower.tell_news([b"loads"])
+                await anyio.sleep(4.5 * HEARTBEAT_S / 100)
+            tasks.cancel_scope.cancel()
+
     def test_news_in_between_does_not_put_the_next_heartbeat_off(self):
-        self.follower._heartbeat_at_ms = 500
-        self.assertEqual(self.follower._pause_s(490), 0.01)
-        self.assertEqual(self.follower._pause_s(510), 0)
+        run_in_virtual_time(self.tell_news_all_the_time)
+        kinds = [type(message) for message in self.sent.messages]
+        self.assertEqual(kinds, [CatalogHeartbeat] * 5)
+        self.assertEqual(len(self.sent.frames), 100)
+
+    async def change_often(self):
+        self.has_caught_up = True
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.follower.feed)
+            for number in range(2, 102):
+                self.machine.apply(number, encode_command(self.sheet(number)))
+                self.follower.wake()
+                await anyio.sleep(0.01)
+            await anyio.sleep(2 * UPDATE_PAUSE_MS / 1000)
+            tasks.cancel_scope.cancel()
+
+    def test_changes_that_come_close_together_are_sent_together(self):
+        run_in_virtual_time(self.change_often)
+        updates = [m for m in self.sent.messages if isinstance(m, CatalogUpdate)]
+        self.assertLessEqual(len(updates), 1_000 // UPDATE_PAUSE_MS + 2)
+        self.assertEqual(updates[-1].revision, 101)
+
+    async def stop_taking(self):
+        self.sent.takes_nothing = True
+        await self.follower.feed()
+
+    def test_an_entry_that_takes_nothing_is_given_up(self):
+        with self.assertRaises(TimeoutError):
+            run_in_virtual_time(self.stop_taking)
 
     def test_once_it_has_caught_up_it_shows_the_catalog_at_once(self):
         anyio.run(self.feed_until_blocked, self.catch_up)
