entry: 503 in place of 404 and 401 where a newer sheet may allow the request

Cause: an entry that had lost its replica answered 404 for a route added 3.4 s before, and callers do not come back after that; found by reading for 401, too. Change: where what the entry knows may be over 1.5 s old, these two refusals say when to come back. Before: 404 and 401 (the new tests fail). After: 503 with Retry-After; 404 where it is known.

--- a/src/cinderway/entry/callers/_route_handler.py
+++ b/src/cinderway/entry/callers/_route_handler.py
@@ -50,6 +50,11 @@
 # caller who would give up sooner is told to come back while it still can.
 SHEET_WAIT_MS = 700
 SHEET_WAIT_SHARE = 0.25
+# What an entry knows is at most 0.8 s old while its replica tells it (a heartbeat each
+# half second, of what was known a quarter of a second before); with some for slow links.
+OUTDATED_MS = 1_500
+# Refusals that the sheet alone decides, and after which callers do not come back.
+FINAL_BY_SHEET = {ErrorCode.UNKNOWN_ROUTE, ErrorCode.ACCOUNT_UNKNOWN}
 
 
 @dataclass
@@ -81,7 +86,7 @@
             served.error = error.error
             await self._refuse(reply, error.error, error.outcome)
         except CinderwayError as error:
-            served.error = error
+            served.error = error = self._unless_outdated(error)
             await self._refuse(reply, error, Resolution.NOT_RUN)
         except Exception:
             logger.exception("a request failed in an unforeseen way")
@@ -92,6 +97,21 @@
                 served.permit.give_back()
             self._note_end(served, reply)
 
+    def _unless_outdated(self, error: CinderwayError) -> CinderwayError:
+        """Return a refusal, but one to come back where a newer sheet may allow it.
+
+        Callers do not come back after 401 and 404. An entry that had lost its replica
+        answered 404 for a route that had been added 3.4 s before.
+        """
+        age_ms = self.state.age_ms(monotonic_ms())
+        if error.code not in FINAL_BY_SHEET or age_ms <= OUTDATED_MS:
+            return error
+        return CinderwayError(
+            ErrorCode.TABLE_UNKNOWN,
+            f"{error.detail}, by a sheet that may be {age_ms} ms old",
+            step=error.step,
+        )
+
     async def _refuse(
         self, reply: Reply, error: CinderwayError, outcome: Resolution
     ) -> None:
--- a/tests/entry/callers/test_route_handler.py
+++ b/tests/entry/callers/test_route_handler.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from cinderway._clock import monotonic_ms
 from cinderway._errors import ErrorCode
 from cinderway._ids import DataHall, EntryName
 from cinderway._operators import Metrics
@@ -19,7 +20,11 @@
 from cinderway.entry._blackboard import Blackboard
 from cinderway.entry._catalog_board import CatalogBoard
 from cinderway.entry.callers._relay import WholeAnswer
-from cinderway.entry.callers._route_handler import RouteHandler, retry_after_s
+from cinderway.entry.callers._route_handler import (
+    OUTDATED_MS,
+    RouteHandler,
+    retry_after_s,
+)
 from cinderway.entry.fleet._allowances import Allowances
 from cinderway.entry.servers._messages import (
     HeaderNames,
@@ -126,6 +131,7 @@
         body = sheet(version, service, kind, **fields)
         self.machine.apply(known + 1, encode_command(InstallSheet(body)))
         self.state.install(self.machine.update_since(known), now_ms=0)
+        self.state.current_at_ms = monotonic_ms()
 
     async def ask(self, asked, timeout_s):
         self.asks.append(asked)
@@ -141,6 +147,30 @@
         await self.handler(caller.scope, caller.receive, caller.send)
         return caller.statuses
 
+    def unknown_route(self, age_ms):
+        """Return what a request gets that no route fits, and when to come back."""
+        self.install(1)
+        self.state.current_at_ms = monotonic_ms() - age_ms
+        caller = Caller(deadline_ms=60_000)
+        caller.scope.update(path="/new/x", raw_path=b"/new/x")
+        (status,) = anyio.run(self.serve, caller)
+        return status, caller.headers[0].get(b"retry-after")
+
+    def test_without_a_route_a_request_is_refused_for_good(self):
+        self.assertEqual(self.unknown_route(age_ms=800), (404, None))
+
+    def test_where_a_newer_sheet_may_have_a_route_the_caller_may_come_back(self):
+        status, retry_after = self.unknown_route(age_ms=OUTDATED_MS + 1_000)
+        self.assertEqual(status, 503)
+        self.assertGreater(float(retry_after), 0)
+
+    def test_where_a_newer_sheet_may_know_a_key_the_caller_may_come_back(self):
+        self.install(1, accounts=[])
+        headers = [(b"authorization", b"Bearer a-new-key")]
+        caller = Caller(deadline_ms=60_000, headers=headers)
+        self.state.current_at_ms = monotonic_ms() - OUTDATED_MS - 1_000
+        self.assertEqual(anyio.run(self.serve, caller), [503])
+
     def test_a_request_that_comes_before_the_sheet_waits_for_it(self):
         async def scenario():
             caller = Caller(deadline_ms=60_000)
