--- a/src/cinderway/entry/callers/_route_handler.py
+++ b/src/cinderway/entry/callers/_route_handler.py
@@ -51,7 +51,7 @@
 SHEET_WAIT_MS = 700
 SHEET_WAIT_SHARE = 0.25
 # What an entry knows is at most 0.8 s old while its replica tells it (a heartbeat each
-# half second, of what was known a quarter of a second before); with some for slow links.
+# half second, of what was known a quarter of a second before); more on slow links.
 OUTDATED_MS = 1_500
 # Refusals that the sheet alone decides, and after which callers do not come back.
 FINAL_BY_SHEET = {ErrorCode.UNKNOWN_ROUTE, ErrorCode.ACCOUNT_UNKNOWN}
