entry: a request whose key is taken away while it waits for a slot is not sent

Cause: found by reading: leave to send was looked at before the wait and for further servers only. Change: it is looked at again each time a waiting request's turn comes. Before: the request goes out (its test: a server is tried).

--- a/src/cinderway/entry/callers/_attempts.py
+++ b/src/cinderway/entry/callers/_attempts.py
@@ -109,6 +109,7 @@
             # turned away (hanging servers under load: 5.7% of the reads failed in
             # place of 2.4%, one seed).
             objective_at_ms=None if request.tried else request.objective_at_ms,
+            may_be_sent=lambda: request.permit.holds,
         ) as exchange:
             answer = await read_whole(
                 self.dispatcher,
--- a/src/cinderway/entry/servers/_dispatch.py
+++ b/src/cinderway/entry/servers/_dispatch.py
@@ -1,6 +1,6 @@
 """Bring a request to a backend server: wait for a slot, attempt, note what came."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -81,6 +81,7 @@
         is_repeatable: bool,
         penalties: Penalties = USUAL_PENALTIES,
         objective_at_ms: int | None = None,
+        may_be_sent: Callable[[], bool] = lambda: True,
     ) -> AsyncIterator[Exchange]:
         """Yield the head of one server's answer; its slot is held until the exit.
 
@@ -90,9 +91,10 @@
         server got nothing; BACKEND_SHED is the server's own word that it did not
         run the request. QUEUE_FULL means that its answer would come after
         `objective_at_ms`, where that is given, because of the servers' queues.
+        ACCOUNT_UNKNOWN means that leave to send it ended while it waited for a slot.
         """
         server = await self._take_slot(
-            service, deadline_ms, exclude, penalties, objective_at_ms
+            service, deadline_ms, exclude, penalties, objective_at_ms, may_be_sent
         )
         exclude.add(server.row.name)
         attempt = self.evidence.begin(service.row.name, server.row.name, monotonic_ms())
@@ -260,11 +262,18 @@
         exclude: set[ServerName],
         penalties: Penalties,
         objective_at_ms: int | None,
+        may_be_sent: Callable[[], bool],
     ) -> ServerState:
         admission = service.admission
         admission.waiting += 1
         try:
             while True:
+                if not may_be_sent():
+                    raise CinderwayError(
+                        ErrorCode.ACCOUNT_UNKNOWN,
+                        "the request's key was taken away while it waited for a slot",
+                        step=Step.QUEUE,
+                    )
                 now_ms = monotonic_ms()
                 found = self._free_server(service, exclude, now_ms, penalties)
                 if found is not None:
--- a/tests/entry/servers/test_dispatch.py
+++ b/tests/entry/servers/test_dispatch.py
@@ -53,21 +53,21 @@
         self.connections = UnreachableServers()
         self.dispatcher = Dispatcher(board, self.connections, EvidenceLog())
 
-    def first_choice(self, penalties):
-        async def attempt():
-            async with self.dispatcher.exchange(
-                self.service,
-                BackendRequest(b"GET", b"/", [], b""),
-                AttemptId("a1"),
-                monotonic_ms() + 60_000,
-                exclude=set(),
-                is_repeatable=True,
-                penalties=penalties,
-            ):
-                self.fail("no server answers")
+    async def attempt(self, **how):
+        async with self.dispatcher.exchange(
+            self.service,
+            BackendRequest(b"GET", b"/", [], b""),
+            AttemptId("a1"),
+            monotonic_ms() + 60_000,
+            exclude=set(),
+            is_repeatable=True,
+            **how,
+        ):
+            self.fail("no server answers")
 
+    def first_choice(self, penalties):
         with self.assertRaises(CinderwayError):
-            anyio.run(attempt)
+            anyio.run(lambda: self.attempt(penalties=penalties))
         return self.connections.tried[-1]
 
     def test_penalties_decide_between_a_suspect_and_another_hall(self):
@@ -79,3 +79,26 @@
     def test_a_failed_attempt_gives_its_slot_back(self):
         self.first_choice(Penalties())
         self.assertEqual(self.service.servers["near"].in_flight, 0)
+
+    def test_a_request_whose_key_is_taken_away_while_it_waits_is_not_sent(self):
+        """Only further servers were checked: one that waited went out all the same."""
+        holds = [True]
+        for waiting_for in self.service.servers.values():
+            waiting_for.in_flight = waiting_for.row.slots
+            waiting_for.pause_until_ms = monotonic_ms() + 60_000
+
+        async def take_the_key_away():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(lambda: self.attempt(may_be_sent=lambda: holds[0]))
+                await anyio.wait_all_tasks_blocked()
+                holds.clear()
+                holds.append(False)
+                for freed in self.service.servers.values():
+                    freed.in_flight = freed.pause_until_ms = 0
+                self.service.free_slot()
+
+        with self.assertRaises(ExceptionGroup) as caught:
+            anyio.run(take_the_key_away)
+        (error,) = caught.exception.exceptions
+        self.assertIs(error.code, ErrorCode.ACCOUNT_UNKNOWN)
+        self.assertEqual(self.connections.tried, [])
