--- a/src/cinderway/entry/callers/_handler.py
+++ b/src/cinderway/entry/callers/_handler.py
@@ -35,7 +35,7 @@
 from cinderway.entry.callers._run_once import RunOnce
 from cinderway.entry.callers._stream import Streams
 from cinderway.entry.fleet._report_server import ReportServer
-from cinderway.entry.servers._dispatch import usable_servers
+from cinderway.entry.servers._slots import usable_servers
 from cinderway.ledger import Resolution
 from cinderway.limits import Refused
 from cinderway.routing import RouteMatch
--- a/src/cinderway/entry/servers/_dispatch.py
+++ b/src/cinderway/entry/servers/_dispatch.py
@@ -11,13 +11,13 @@
 from cinderway._ids import AttemptId, ServerName
 from cinderway.entry._blackboard import Blackboard, ServerState, ServiceState
 from cinderway.entry.servers._backends import BackendConnections
-from cinderway.entry.servers._candidates import free_candidates
 from cinderway.entry.servers._load_report import parse_load
 from cinderway.entry.servers._messages import (
     DRAIN_HEADER,
     BackendAnswer,
     BackendRequest,
 )
+from cinderway.entry.servers._slots import Slots, WantedSlot
 from cinderway.judgement import (
     DRAIN_VALID_MS,
     PIECE_BYTES,
@@ -25,14 +25,7 @@
     Bad,
     EvidenceLog,
 )
-from cinderway.limits import expected_answer_ms, is_hopeless, plan_connections
-from cinderway.routing import (
-    USUAL_PENALTIES,
-    Candidate,
-    Penalties,
-    choose,
-    own_subset,
-)
+from cinderway.routing import USUAL_PENALTIES, Penalties
 
 SERVER_ERROR = 500
 # After a shed the server gets nothing from this entry for about the time that one
@@ -63,6 +56,9 @@
     attempts: int = 0
     _attempt_count: int = field(default=0)
 
+    def __post_init__(self):
+        self.slots = Slots(self.board, self.connections, self.evidence)
+
     def new_attempt_id(self) -> AttemptId:
         """Return an id that no other attempt of the fleet has."""
         self._attempt_count += 1
@@ -93,9 +89,11 @@
         `objective_at_ms`, where that is given, because of the servers' queues.
         ACCOUNT_UNKNOWN means that leave to send it ended while it waited for a slot.
         """
-        server = await self._take_slot(
-            service, deadline_ms, exclude, penalties, objective_at_ms, may_be_sent
+        wanted = WantedSlot(
+            deadline_ms, exclude, penalties, objective_at_ms, may_be_sent
         )
+        server = await self.slots.take(service, wanted)
+        self._note_send(server, monotonic_ms())
         exclude.add(server.row.name)
         attempt = self.evidence.begin(service.row.name, server.row.name, monotonic_ms())
         try:
@@ -255,135 +253,6 @@
         pause_ms = round(service.admission.service_time_ms * share)
         return min(max(pause_ms, SHED_PAUSE_MINIMUM_MS), SHED_PAUSE_MAXIMUM_MS)
 
-    async def _take_slot(
-        self,
-        service: ServiceState,
-        deadline_ms: int,
-        exclude: set[ServerName],
-        penalties: Penalties,
-        objective_at_ms: int | None,
-        may_be_sent: Callable[[], bool],
-    ) -> ServerState:
-        admission = service.admission
-        admission.waiting += 1
-        try:
-            while True:
-                if not may_be_sent():
-                    raise CinderwayError(
-                        ErrorCode.ACCOUNT_UNKNOWN,
-                        "the request's key was taken away while it waited for a slot",
-                        step=Step.QUEUE,
-                    )
-                now_ms = monotonic_ms()
-                found = self._free_server(service, exclude, now_ms, penalties)
-                if found is not None:
-                    if objective_at_ms is not None:
-                        self._check_queue(
-                            service, found, now_ms, objective_at_ms, deadline_ms
-                        )
-                    server = service.servers[found.name]
-                    self._note_send(server, now_ms)
-                    return server
-                give_up_at_ms = deadline_ms - admission.service_time_ms
-                if now_ms >= give_up_at_ms:
-                    raise self._no_slot(service)
-                wait_ms = self._next_change_ms(service, now_ms, give_up_at_ms)
-                with anyio.move_on_after(wait_ms / 1000):
-                    await service.slot_freed.wait()
-        finally:
-            admission.waiting -= 1
-
-    def _free_server(
-        self,
-        service: ServiceState,
-        exclude: set[ServerName],
-        now_ms: int,
-        penalties: Penalties,
-    ) -> Candidate | None:
-        subset = self._subset(usable_servers(service))
-        own_hall, rng = self.board.data_hall, self.board.rng
-        candidates = free_candidates(subset, own_hall, rng, exclude, now_ms)
-        if not candidates and exclude:
-            # Every other server was tried already: a second try beats none.
-            candidates = free_candidates(subset, own_hall, rng, (), now_ms)
-        return choose(candidates, own_hall, rng, penalties=penalties)
-
-    def _check_queue(
-        self,
-        service: ServiceState,
-        chosen: Candidate,
-        now_ms: int,
-        objective_at_ms: int,
-        deadline_ms: int,
-    ) -> None:
-        """Raise CinderwayError if even the emptiest server's queue is too long."""
-        usual_ms = self.evidence.pace(service.row.name).usual_ms
-        load = chosen.next_load
-        if is_hopeless(load, usual_ms, now_ms, objective_at_ms, deadline_ms):
-            raise CinderwayError(
-                ErrorCode.QUEUE_FULL,
-                f"servers of {service.row.name} have {load:.1f} times the work that "
-                f"their slots take: {expected_answer_ms(load, usual_ms):.0f} ms until "
-                f"an answer, {objective_at_ms - now_ms} ms to the objective",
-                step=Step.QUEUE,
-            )
-
-    def _subset(self, usable: list[ServerState]) -> list[tuple[ServerState, int]]:
-        """Return the servers to choose from, each with how many requests it may get.
-
-        As many servers as keep the fleet below their connection limits; all of them
-        unless the fleet is large.
-        """
-        if not usable:
-            return []
-        limit = min(server.row.connection_limit for server in usable)
-        plan = plan_connections(limit, self.board.entry_count, len(usable))
-        self.connections.idle_limit = plan.per_entry
-        if plan.subset_size >= len(usable):
-            return [
-                (server, min(server.row.slots, plan.per_entry)) for server in usable
-            ]
-        names = {server.row.name for server in usable}
-        chosen = own_subset(self.board.name, names, plan.subset_size)
-        return [
-            (server, min(server.row.slots, plan.per_entry))
-            for server in usable
-            if server.row.name in chosen
-        ]
-
-    def _next_change_ms(
-        self, service: ServiceState, now_ms: int, give_up_at_ms: float
-    ) -> float:
-        pauses = [
-            server.pause_until_ms
-            for server in service.servers.values()
-            if server.pause_until_ms > now_ms
-        ]
-        return max(min([give_up_at_ms, *pauses]) - now_ms, 1)
-
-    def _no_slot(self, service: ServiceState) -> CinderwayError:
-        if not usable_servers(service):
-            return CinderwayError(
-                ErrorCode.NO_BACKEND_SERVER,
-                f"no backend server of {service.row.name} takes work",
-                step=Step.ROUTE,
-            )
-        return CinderwayError(
-            ErrorCode.DEADLINE_PASSED,
-            f"no slot of {service.row.name} came free in time",
-            step=Step.QUEUE,
-        )
-
-
-def usable_servers(service: ServiceState) -> list[ServerState]:
-    """Return the servers that may get new work."""
-    now_ms = monotonic_ms()
-    return [
-        server
-        for server in service.servers.values()
-        if server.takes_work(now_ms) and not server.is_ejected
-    ]
-
 
 def _refused(server: ServerState, code: ErrorCode, detail: str) -> CinderwayError:
     """Return the error for an answer by which a server did not run the request."""
--- /dev/null
+++ b/src/cinderway/entry/servers/_slots.py
@@ -0,0 +1,159 @@
+"""Wait for a backend server's free slot, and choose among those that have one.
+
+A request is refused as soon as it is known that no slot will be of use to it: the
+servers' queues alone would make its answer late, its time is over, or it may no longer
+be sent.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+
+from cinderway._clock import monotonic_ms
+from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._ids import ServerName
+from cinderway.entry._blackboard import Blackboard, ServerState, ServiceState
+from cinderway.entry.servers._backends import BackendConnections
+from cinderway.entry.servers._candidates import free_candidates
+from cinderway.judgement import EvidenceLog
+from cinderway.limits import expected_answer_ms, is_hopeless, plan_connections
+from cinderway.routing import Candidate, Penalties, choose, own_subset
+
+
+@dataclass(frozen=True)
+class WantedSlot:
+    """What one request needs of a slot.
+
+    Servers in `exclude` come last: they were tried already. Without `objective_at_ms`
+    it is no matter how long the answer takes.
+    """
+
+    deadline_ms: int
+    exclude: set[ServerName]
+    penalties: Penalties
+    objective_at_ms: int | None
+    may_be_sent: Callable[[], bool]
+
+
+@dataclass
+class Slots:
+    """The slots of all backend servers, as one entry sees them."""
+
+    board: Blackboard
+    connections: BackendConnections
+    evidence: EvidenceLog
+
+    async def take(self, service: ServiceState, wanted: WantedSlot) -> ServerState:
+        """Return a server with a free slot, waiting for one if there is none.
+
+        The caller counts the request there at once. Raises CinderwayError.
+        """
+        admission = service.admission
+        admission.waiting += 1
+        try:
+            while True:
+                _require_leave(wanted)
+                now_ms = monotonic_ms()
+                found = self._free_server(service, wanted, now_ms)
+                if found is not None:
+                    self._check_queue(service, found, wanted, now_ms)
+                    return service.servers[found.name]
+                give_up_at_ms = wanted.deadline_ms - admission.service_time_ms
+                if now_ms >= give_up_at_ms:
+                    raise _no_slot(service)
+                wait_ms = _next_change_ms(service, now_ms, give_up_at_ms)
+                with anyio.move_on_after(wait_ms / 1000):
+                    await service.slot_freed.wait()
+        finally:
+            admission.waiting -= 1
+
+    def _free_server(
+        self, service: ServiceState, wanted: WantedSlot, now_ms: int
+    ) -> Candidate | None:
+        subset = self._subset(usable_servers(service))
+        own_hall, rng = self.board.data_hall, self.board.rng
+        candidates = free_candidates(subset, own_hall, rng, wanted.exclude, now_ms)
+        if not candidates and wanted.exclude:
+            # Every other server was tried already: a second try beats none.
+            candidates = free_candidates(subset, own_hall, rng, (), now_ms)
+        return choose(candidates, own_hall, rng, penalties=wanted.penalties)
+
+    def _check_queue(
+        self, service: ServiceState, chosen: Candidate, wanted: WantedSlot, now_ms: int
+    ) -> None:
+        """Raise CinderwayError if even the emptiest server's queue is too long."""
+        objective_at_ms = wanted.objective_at_ms
+        if objective_at_ms is None:
+            return
+        usual_ms = self.evidence.pace(service.row.name).usual_ms
+        load = chosen.next_load
+        if is_hopeless(load, usual_ms, now_ms, objective_at_ms, wanted.deadline_ms):
+            raise CinderwayError(
+                ErrorCode.QUEUE_FULL,
+                f"servers of {service.row.name} have {load:.1f} times the work that "
+                f"their slots take: {expected_answer_ms(load, usual_ms):.0f} ms until "
+                f"an answer, {objective_at_ms - now_ms} ms to the objective",
+                step=Step.QUEUE,
+            )
+
+    def _subset(self, usable: list[ServerState]) -> list[tuple[ServerState, int]]:
+        """Return the servers to choose from, each with how many requests it may get.
+
+        As many servers as keep the fleet below their connection limits; all of them
+        unless the fleet is large.
+        """
+        if not usable:
+            return []
+        limit = min(server.row.connection_limit for server in usable)
+        plan = plan_connections(limit, self.board.entry_count, len(usable))
+        self.connections.idle_limit = plan.per_entry
+        chosen = usable
+        if plan.subset_size < len(usable):
+            names = {server.row.name for server in usable}
+            kept = own_subset(self.board.name, names, plan.subset_size)
+            chosen = [server for server in usable if server.row.name in kept]
+        return [(server, min(server.row.slots, plan.per_entry)) for server in chosen]
+
+
+def usable_servers(service: ServiceState) -> list[ServerState]:
+    """Return the servers that may get new work."""
+    now_ms = monotonic_ms()
+    return [
+        server
+        for server in service.servers.values()
+        if server.takes_work(now_ms) and not server.is_ejected
+    ]
+
+
+def _require_leave(wanted: WantedSlot) -> None:
+    if not wanted.may_be_sent():
+        raise CinderwayError(
+            ErrorCode.ACCOUNT_UNKNOWN,
+            "the request's key was taken away while it waited for a slot",
+            step=Step.QUEUE,
+        )
+
+
+def _next_change_ms(service: ServiceState, now_ms: int, give_up_at_ms: float) -> float:
+    """Return the time until a server's pause ends, or the request is given up."""
+    pauses = [
+        server.pause_until_ms
+        for server in service.servers.values()
+        if server.pause_until_ms > now_ms
+    ]
+    return max(min([give_up_at_ms, *pauses]) - now_ms, 1)
+
+
+def _no_slot(service: ServiceState) -> CinderwayError:
+    if not usable_servers(service):
+        return CinderwayError(
+            ErrorCode.NO_BACKEND_SERVER,
+            f"no backend server of {service.row.name} takes work",
+            step=Step.ROUTE,
+        )
+    return CinderwayError(
+        ErrorCode.DEADLINE_PASSED,
+        f"no slot of {service.row.name} came free in time",
+        step=Step.QUEUE,
+    )
--- a/tests/entry/fleet/test_platform.py
+++ b/tests/entry/fleet/test_platform.py
@@ -8,7 +8,7 @@
     PlatformList,
     apply_list,
 )
-from cinderway.entry.servers._dispatch import usable_servers
+from cinderway.entry.servers._slots import usable_servers
 from cinderway.limits import RetryBudget
 from cinderway.table import ServerRow, ServiceRow
 
--- a/tests/entry/test_catalog_board.py
+++ b/tests/entry/test_catalog_board.py
@@ -21,7 +21,7 @@
 from cinderway.entry._blackboard import Blackboard
 from cinderway.entry._catalog_board import CatalogBoard
 from cinderway.entry.servers._backends import BackendConnections
-from cinderway.entry.servers._dispatch import Dispatcher
+from cinderway.entry.servers._slots import Slots, WantedSlot
 from cinderway.judgement import EvidenceLog
 from cinderway.routing import USUAL_PENALTIES, Penalties
 
@@ -57,7 +57,7 @@
         self.state = CatalogBoard(board, EvidenceLog(), lone_retry_percent=5)
         self.state.install(catalog(["a", "b"]).update_since(0), now_ms=0)
         self.servers = board.services[SERVICE].servers
-        self.dispatcher = Dispatcher(board, BackendConnections(), EvidenceLog())
+        self.slots = Slots(board, BackendConnections(), EvidenceLog())
 
     def hear(self, **loads):
         told = [ServerLoad(ServerName(name), load) for name, load in loads.items()]
@@ -67,9 +67,14 @@
     def choice(self, penalties=USUAL_PENALTIES):
         service = self.state.board.services[SERVICE]
         # A fresh look each time: nothing is noted as sent.
-        return self.dispatcher._free_server(
-            service, set(), monotonic_ms(), penalties
-        ).name
+        wanted = WantedSlot(
+            monotonic_ms() + 60_000,
+            exclude=set(),
+            penalties=penalties,
+            objective_at_ms=None,
+            may_be_sent=lambda: True,
+        )
+        return self.slots._free_server(service, wanted, monotonic_ms()).name
 
     def test_what_another_entry_knows_decides_where_this_one_sends(self):
         self.hear(a=1.5, b=0.5)
