--- a/tests/entry/test_catalog_board.py
+++ b/tests/entry/test_catalog_board.py
@@ -21,7 +21,8 @@
 from cinderway.entry._blackboard import Blackboard
 from cinderway.entry._catalog_board import CatalogBoard
 from cinderway.entry.servers._backends import BackendConnections
-from cinderway.entry.servers._slots import Slots, WantedSlot
+from cinderway.entry.servers._dispatch import Dispatcher
+from cinderway.entry.servers._slots import WantedSlot
 from cinderway.judgement import EvidenceLog
 from cinderway.routing import USUAL_PENALTIES, Penalties
 
@@ -57,7 +58,7 @@
         self.state = CatalogBoard(board, EvidenceLog(), lone_retry_percent=5)
         self.state.install(catalog(["a", "b"]).update_since(0), now_ms=0)
         self.servers = board.services[SERVICE].servers
-        self.slots = Slots(board, BackendConnections(), EvidenceLog())
+        self.dispatcher = Dispatcher(board, BackendConnections(), EvidenceLog())
 
     def hear(self, **loads):
         told = [ServerLoad(ServerName(name), load) for name, load in loads.items()]
@@ -74,7 +75,7 @@
             objective_at_ms=None,
             may_be_sent=lambda: True,
         )
-        return self.slots._free_server(service, wanted, monotonic_ms()).name
+        return self.dispatcher.slots._free_server(service, wanted, monotonic_ms()).name
 
     def test_what_another_entry_knows_decides_where_this_one_sends(self):
         self.hear(a=1.5, b=0.5)
