entry: the replica that is taken over is not stood by for as well

Cause: the next standby was looked for before the taken replica counted as the followed one, so that a second connection to it was opened and dropped again, and the next standby came later. Before: one connection more (its test).

--- a/src/cinderway/entry/fleet/_standby.py
+++ b/src/cinderway/entry/fleet/_standby.py
@@ -104,6 +104,8 @@
         if self.choice.has_better(session.address, monotonic_ms()):
             return None
         self._session = None
+        # Before the next standby is looked for: it must be another replica.
+        self.choice.followed = session.address
         self._watching.cancel()
         await self._released.wait()
         return session
--- a/tests/entry/fleet/test_standby.py
+++ b/tests/entry/fleet/test_standby.py
@@ -62,6 +62,18 @@
         self.assertEqual(data_hall, HALL)
         self.assertEqual(opened, 0)
 
+    async def connections_to_the_next_replica(self):
+        lost = self.followed
+        lost.has_power = False
+        while self.followed in (lost, None):
+            await anyio.sleep(0.01)
+        before = self.followed.connections
+        await anyio.sleep(A_WHILE_S)
+        return self.followed.connections - before
+
+    def test_the_replica_that_is_followed_now_does_not_stand_by_as_well(self):
+        self.assertEqual(self.play(self.connections_to_the_next_replica), 0)
+
     async def replicas_known_after_an_announcement(self):
         hall = DataHall("labasa")
         late = AnnounceReplica(Address("10.0.0.9:7100"), hall, Address("unused:0"))
