--- a/src/cinderway/entry/fleet/_standby.py
+++ b/src/cinderway/entry/fleet/_standby.py
@@ -64,7 +64,8 @@
     age_limit_ms: int
     fetches: int = 0
     _session: ControlSession | None = None
-    _age_ms: int | None = None
+    # When what the replica here knows was new, by its last word.
+    _known_at_ms: int | None = None
     _revision: int = 0
     _behind_since_ms: int | None = None
     _is_fetching: bool = False
@@ -84,9 +85,10 @@
 
     @property
     def is_current(self) -> bool:
-        """Whether what the replica here knows is new, by its own word."""
-        age_ms = self._age_ms
-        return age_ms is not None and age_ms <= self.age_limit_ms
+        """Whether the replica here was heard lately, and what it knows was new then."""
+        if self._known_at_ms is None:
+            return False
+        return monotonic_ms() - self._known_at_ms <= self.age_limit_ms
 
     @property
     def is_current_at_home(self) -> bool:
@@ -112,7 +114,7 @@
 
     async def _watch(self, session: ControlSession) -> None:
         self._session = session
-        self._age_ms = self._behind_since_ms = None
+        self._known_at_ms = self._behind_since_ms = None
         self._is_fetching = False
         self._released = anyio.Event()
         self._watching = anyio.CancelScope()
@@ -178,7 +180,8 @@
                 self._is_fetching = False
                 logger.info("the replica that stands by has nothing newer: %s", detail)
             case CatalogHeartbeat(knowledge_age_ms=age_ms, revision=revision):
-                self._age_ms, self._revision = age_ms, revision
+                self._known_at_ms = monotonic_ms() - age_ms
+                self._revision = revision
                 self._compare(age_ms)
 
     def _compare(self, age_ms: int) -> None:
--- a/tests/entry/fleet/test_standby.py
+++ b/tests/entry/fleet/test_standby.py
@@ -4,6 +4,7 @@
 
 from cinderway._ids import Address, DataHall
 from cinderway.catalog import AnnounceReplica
+from cinderway.entry.fleet._catalog_follower import KNOWLEDGE_AGE_LIMIT_MS
 from tests.entry.fleet.test_lost_replica import (
     AWAY,
     BUSY_LEG_MS,
@@ -74,6 +75,15 @@
     def test_the_replica_that_is_followed_now_does_not_stand_by_as_well(self):
         self.assertEqual(self.play(self.connections_to_the_next_replica), 0)
 
+    async def whether_a_silent_one_stands_by(self):
+        (spare,) = (r for r in self.replicas[:2] if r is not self.followed)
+        spare.has_power = False
+        await anyio.sleep(KNOWLEDGE_AGE_LIMIT_MS / 1000)
+        return self.follower._standby.is_current
+
+    def test_a_standby_that_is_silent_is_not_turned_to(self):
+        self.assertFalse(self.play(self.whether_a_silent_one_stands_by))
+
     async def replicas_known_after_an_announcement(self):
         hall = DataHall("labasa")
         late = AnnounceReplica(Address("10.0.0.9:7100"), hall, Address("unused:0"))
