--- a/src/cinderway/replication/_node.py
+++ b/src/cinderway/replication/_node.py
@@ -151,7 +151,8 @@
         A replica may hear its leader and still apply nothing, while its disk stalls.
         By the leader's last message alone such a one passed for current.
         """
-        if self.core.is_leader:
+        # A new leader may hold what was acknowledged before, and not know it committed.
+        if self.core.is_leader and self.core.has_committed_in_term:
             return 0
         if self.known_at_ms is None:
             return None
