--- a/src/cinderway/catalog/_conversation.py
+++ b/src/cinderway/catalog/_conversation.py
@@ -1,8 +1,8 @@
 """What entries and control replicas say to each other about the catalog.
 
-An entry keeps one connection to one replica, in its own data hall if there is one.
-Nothing is said while nothing changes, but for a small heartbeat that tells how old the
-replica's own knowledge is.
+An entry follows one replica, in its own data hall if there is one, and keeps a second
+connection to another that stands by. Nothing is said while nothing changes, but for a
+small heartbeat of each that tells how old the replica's own knowledge is.
 """
 
 from cinderway._ids import (
