--- a/src/cinderway/catalog/_registry.py
+++ b/src/cinderway/catalog/_registry.py
@@ -27,6 +27,8 @@
 GONE_KEPT = 4_096
 # Of a start that its server does not tell.
 UNTOLD = 0
+# Between an id and the number of its start; it may stand in an id, too.
+_NUMBER_MARK = "~"
 # Where control lists registered servers, over HTTP.
 SERVERS_PATH = "/v1/servers"
 
@@ -200,22 +202,24 @@
         holder = self.servers.get(self._by_address.get(told.address))
         if holder is not None and _is_over(told, holder):
             return NO_CHANGE
-        gone = [holder.server_id] if holder is not None else []
+        gone = {holder.server_id} if holder is not None else set()
         if former is not None and former.name in self.servers:
-            gone += [name for name in [former.name] if name not in gone]
-        return RegistryChange([self._named(told, former)], gone)
+            gone.add(former.name)
+        name, _ = self._unused_name(told.server_id, former)
+        first_id = told.server_id if name != told.server_id else ServerName("")
+        put = msgspec.structs.replace(told, server_id=name, first_id=first_id)
+        return RegistryChange([put], sorted(gone))
 
-    def _named(
-        self, told: RegisteredServer, former: NewestStart | None
-    ) -> RegisteredServer:
-        """Return a new start under a name that none has had."""
+    def _unused_name(
+        self, server_id: ServerName, former: NewestStart | None
+    ) -> tuple[ServerName, int]:
+        """Return a name that no start has had, and its number among the id's."""
         number = former.number + 1 if former is not None else 1
-        name = _name_of(told.server_id, number)
-        while name in self.servers or name in self.gone:
+        while True:
+            name = _name_of(server_id, number)
+            if name not in self.servers and name not in self.gone:
+                return name, number
             number += 1
-            name = _name_of(told.server_id, number)
-        first_id = told.server_id if name != told.server_id else ServerName("")
-        return msgspec.structs.replace(told, server_id=name, first_id=first_id)
 
     def _leave_unknown(
         self,
@@ -225,8 +229,7 @@
         revision: int,
     ) -> RegistryChange:
         """Note that a start has left that was never heard of."""
-        number = former.number + 1 if former is not None else 1
-        name = _name_of(server_id, number)
+        name, number = self._unused_name(server_id, former)
         gone = [name]
         if former is not None and former.name in self.servers:
             self._drop(former.name, revision)
@@ -286,10 +289,6 @@
     return UNTOLD < former.started_at_ms < put.started_at_ms
 
 
-# Between an id and the number of its start; it may stand in an id, too.
-_NUMBER_MARK = "~"
-
-
 def _name_of(server_id: ServerName, number: int) -> ServerName:
     """Return the name of an id's start: the id itself for the first one."""
     return ServerName(f"{server_id}{_NUMBER_MARK}{number}") if number > 1 else server_id
--- a/tests/catalog/test_starts.py
+++ b/tests/catalog/test_starts.py
@@ -103,6 +103,11 @@
         self.apply(Register(start("1", 100)), Register(start("1", 200)))
         self.assertEqual({s[0] for s in self.known()}, {"1", "1~2"})
 
+    def test_a_start_that_left_unheard_takes_no_other_servers_name(self):
+        self.apply(Register(start("1~2", 50, address=9)))
+        self.apply(Register(start("1", 100)), Deregister("1", started_at_ms=200))
+        self.assertEqual(self.known(), {("1~2", 50, ACTIVE)})
+
 
 class LateWordTests(StartCase):
     def test_a_heartbeat_of_an_earlier_start_changes_nothing(self):
