--- a/src/cinderway/entry/fleet/_catalog_follower.py
+++ b/src/cinderway/entry/fleet/_catalog_follower.py
@@ -92,11 +92,11 @@
             self.settings.name,
             self._sessions,
             self._choice,
-            lambda: self.state.mirror.revision,
-            lambda: self._connection is not None and self._connection.is_receiving,
-            lambda update: self._install(update, monotonic_ms()),
-            lambda age_ms: self._note_age(age_ms, monotonic_ms()),
-            KNOWLEDGE_AGE_LIMIT_MS,
+            known_revision=lambda: self.state.mirror.revision,
+            is_being_told=lambda: self._is_being_told,
+            install=lambda update: self._install(update, monotonic_ms()),
+            note_age=lambda age_ms: self._note_age(age_ms, monotonic_ms()),
+            age_limit_ms=KNOWLEDGE_AGE_LIMIT_MS,
         )
         self._reports = CatalogReports(
             self.settings.name, self.settings.data_hall, self.state
@@ -143,6 +143,11 @@
         """Whether a control replica serves this entry now."""
         return self._connection is not None
 
+    @property
+    def _is_being_told(self) -> bool:
+        """Whether the followed replica is in the midst of a message."""
+        return self._connection is not None and self._connection.is_receiving
+
     # Retries.
 
     def earn(self, service: ServiceState) -> None:
--- a/src/cinderway/entry/fleet/_control_sessions.py
+++ b/src/cinderway/entry/fleet/_control_sessions.py
@@ -112,7 +112,7 @@
             await connection.send(FindReplicas(), call_id=1)
             answer = (await connection.receive()).message
         if isinstance(answer, ReplicasAnswer):
-            self.choice.replicas = answer.replicas
+            self.choice.learn(answer.replicas)
 
     def _note_setup(self, started_at_ms: int, outcome: str) -> int:
         """Note how long opening took, and return that in milliseconds."""
--- a/src/cinderway/entry/fleet/_replica_choice.py
+++ b/src/cinderway/entry/fleet/_replica_choice.py
@@ -30,6 +30,11 @@
     followed: Address | None = None
     _avoid_until_ms: dict[Address, int] = field(default_factory=dict)
 
+    def learn(self, replicas: list[ReplicaAddress]) -> None:
+        """Take over what a replica says of all; one just started may know of none."""
+        if replicas:
+            self.replicas = replicas
+
     def candidates(self, now_ms: int) -> list[Address]:
         """Replicas in the order to try them; each entry has its own order."""
         halls = {replica.address: replica.data_hall for replica in self.replicas}
--- a/src/cinderway/entry/fleet/_standby.py
+++ b/src/cinderway/entry/fleet/_standby.py
@@ -153,7 +153,7 @@
         """Whether a list of replicas has just come that names a better one."""
         if not isinstance(envelope.message, ReplicasAnswer):
             return False
-        return self.choice.standbys(monotonic_ms())[0] != address
+        return self.choice.standbys(monotonic_ms())[:1] != [address]
 
     async def _next_message(self, connection: Connection) -> Envelope:
         """Return what comes next; meanwhile, fetch what the own replica does not tell.
@@ -175,7 +175,7 @@
                 self._is_fetching = False
                 self.install(update)
             case ReplicasAnswer(replicas=replicas):
-                self.choice.replicas = replicas
+                self.choice.learn(replicas)
             case Failure(detail=detail):
                 self._is_fetching = False
                 logger.info("the replica that stands by has nothing newer: %s", detail)
--- a/tests/entry/fleet/test_standby.py
+++ b/tests/entry/fleet/test_standby.py
@@ -10,6 +10,8 @@
     BUSY_LEG_MS,
     COMMIT_DELAY_S,
     HALL,
+    HOME_1,
+    HOME_2,
     ControlCase,
     sheet,
 )
@@ -96,6 +98,16 @@
         known = self.play(self.replicas_known_after_an_announcement)
         self.assertIn("10.0.0.9:7100", known)
 
+    async def whether_replicas_are_known_after_an_empty_list(self):
+        for replica in self.replicas:
+            replica.machine.replicas.clear()
+        await anyio.sleep(3 * A_WHILE_S)
+        return {replica.address for replica in self.follower._choice.replicas}
+
+    def test_a_replica_that_knows_of_none_does_not_make_an_entry_forget_them(self):
+        known = self.play(self.whether_replicas_are_known_after_an_empty_list)
+        self.assertEqual(known, {HOME_1, HOME_2, AWAY})
+
     async def hall_followed_when_the_own_one_comes_back(self):
         for replica in self.replicas[:2]:
             replica.has_power = False
