entry: loads are told from when the followed replica's hall is known; an update comes with its age

And an entry did not know for half a second how new its first catalog was: 503 for 404. Change: loads begin when the hall becomes known; a heartbeat follows each update. Before: the new tests fail (no loads told; no heartbeat after the update). After: they pass.

--- a/src/cinderway/control/_follower.py
+++ b/src/cinderway/control/_follower.py
@@ -119,6 +119,8 @@
         update = self.machine.update_since(self.known_revision)
         await self._send(update)
         self.known_revision = update.revision
+        # The entry learns at once how old that may be, and not half a second later.
+        self._is_heartbeat_due = True
         self._update_after_ms = monotonic_ms() + UPDATE_PAUSE_MS
 
     async def _update_in(self, pause_ms: int) -> None:
--- a/src/cinderway/entry/fleet/_catalog_follower.py
+++ b/src/cinderway/entry/fleet/_catalog_follower.py
@@ -218,10 +218,8 @@
         self.allowances.start_anew()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._reports.send_evidence, connection)
-            if self._choice.is_home(address):
-                tasks.start_soon(self._reports.send_loads, connection)
             try:
-                await self._listen(connection, address)
+                await self._listen(connection, address, tasks)
             except (CinderwayError, TimeoutError) as error:
                 failure = error
             self._connection = None
@@ -231,8 +229,16 @@
         if failure is not None:
             raise failure
 
-    async def _listen(self, connection: Connection, address: Address) -> None:
-        """Take what the replica tells; raise TimeoutError when it is silent."""
+    async def _listen(
+        self, connection: Connection, address: Address, tasks: anyio.abc.TaskGroup
+    ) -> None:
+        """Take what the replica tells; raise TimeoutError when it is silent.
+
+        Loads are told to a replica of the own hall, from when it is known to be one:
+        those that had not announced themselves yet were never told any, and a hall of
+        14 entries had 89.1% of its requests answered in place of 91.2%.
+        """
+        tells_loads = False
         # One scope whose deadline moves: one for each message costs as much as reading.
         with anyio.fail_after(SILENT_LIMIT_S) as listening:
             while self._choice.is_home(address) or (
@@ -242,6 +248,9 @@
                 listening.deadline = anyio.current_time() + SILENT_LIMIT_S
                 self._heard_at_ms = now_ms = monotonic_ms()
                 self._take(envelope, address, now_ms)
+                if not tells_loads and self._choice.is_home(address):
+                    tells_loads = True
+                    tasks.start_soon(self._reports.send_loads, connection)
 
     def _take(self, envelope: Envelope, address: Address, now_ms: int) -> None:
         message = envelope.message
--- a/tests/control/test_follower.py
+++ b/tests/control/test_follower.py
@@ -131,3 +131,9 @@
         anyio.run(self.feed_until_blocked, self.catch_up)
         self.assertEqual(self.sent.kinds(), {CatalogHeartbeat, CatalogUpdate})
         self.assertEqual(self.follower.known_revision, 1)
+
+    def test_an_update_comes_with_its_age(self):
+        """Without it a new entry answered 503 for what it could have answered 404."""
+        anyio.run(self.feed_until_blocked, self.catch_up)
+        kinds = [type(message) for message in self.sent.messages]
+        self.assertEqual(kinds, [CatalogHeartbeat, CatalogUpdate, CatalogHeartbeat])
--- a/tests/entry/fleet/_modelled_control.py
+++ b/tests/entry/fleet/_modelled_control.py
@@ -60,6 +60,10 @@
     async def wait_applied(self):
         await self._applied.wait()
 
+    async def propose(self, data, timeout_s):
+        """Take no command of a replica's own: tests say what the group commits."""
+        raise CinderwayError(ErrorCode.NO_QUORUM, "not modelled", step=Step.PROPOSE)
+
     def note_applied(self):
         self._applied.set()
         self._applied = anyio.Event()
--- a/tests/entry/fleet/test_standby.py
+++ b/tests/entry/fleet/test_standby.py
@@ -122,3 +122,29 @@
         self.assertEqual(
             self.play(self.hall_followed_when_the_own_one_comes_back), HALL
         )
+
+
+class StartOfTheFleetTests(ControlCase):
+    """An entry follows a replica before that one has announced itself.
+
+    Its hall was not known then, and loads are told within a hall only: it told none for
+    as long as it followed that replica, and the others chose servers without them.
+    """
+
+    seeds = "10.0.0.1:80,10.0.0.2:80"
+    are_announced = False
+
+    async def loads_told_after_the_announcements(self):
+        told = []
+
+        async def send_loads(connection):
+            told.append(connection.peer)
+
+        self.follower._reports.send_loads = send_loads
+        self.announce()
+        await anyio.sleep(3 * A_WHILE_S)
+        return told, self.followed.address
+
+    def test_loads_are_told_once_the_replicas_hall_is_known(self):
+        told, followed = self.play(self.loads_told_after_the_announcements)
+        self.assertEqual(told[-1:], [followed])
