--- a/src/cinderway/entry/fleet/_catalog_follower.py
+++ b/src/cinderway/entry/fleet/_catalog_follower.py
@@ -235,8 +235,8 @@
         """Take what the replica tells; raise TimeoutError when it is silent.
 
         Loads are told to a replica of the own hall, from when it is known to be one:
-        those that had not announced themselves yet were never told any, and a hall of
-        14 entries had 89.1% of its requests answered in place of 91.2%.
+        those that had not announced themselves yet were never told any, and 89.1% and
+        89.4% of the requests were served in place of 91.5% (one day, three plays).
         """
         tells_loads = False
         # One scope whose deadline moves: one for each message costs as much as reading.
