experiment: requests that end the servers which run them

Cause: an incident shows one request, sent again and again at any entry, that ends each server which begins to run it; the model's servers never ended. Change: an experiment may declare such requests (share of a route, repeats, how soon a server ends, how long it is down); all that is under way at a server ends with it. Plays without them draw the same random numbers as before.

--- a/src/cinderway/experiment/_callers.py
+++ b/src/cinderway/experiment/_callers.py
@@ -1,5 +1,6 @@
 """Model callers: what they ask, when, and what became of it."""
 
+import itertools
 import math
 import random
 from collections.abc import Iterator
@@ -17,6 +18,8 @@
 
 OK = 200
 REFUSED = 503
+# Of requests that no other is the same as.
+_numbers = itertools.count()
 
 
 class Outcome(Enum):
@@ -77,11 +80,14 @@
     entries: list[ModelEntry],
     hall: DataHall,
     rng: random.Random,
+    path: str | None = None,
 ) -> Result:
     """Ask once, come back where that is worth it; return what came of it.
 
-    Where no entry is there, the caller waits in vain.
+    Where no entry is there, the caller waits in vain. `path` is that of a request which
+    is not one of the route's usual ones.
     """
+    path = path or _drawn_path(route, rng)
     asked_at_ms = monotonic_ms()
     give_up_at_ms = asked_at_ms + route.deadline_ms
     tries = 0
@@ -92,7 +98,7 @@
             answer = _Answer()
             break
         entry = rng.choice(entries)
-        answer = await _try(experiment, route, entry, give_up_at_ms, rng)
+        answer = await _try(experiment, route, path, entry, give_up_at_ms, rng)
         back_at_ms = monotonic_ms() + answer.retry_after_ms
         may_return = answer.status == REFUSED and tries <= route.retries
         if not may_return or back_at_ms >= give_up_at_ms:
@@ -106,6 +112,7 @@
 async def _try(
     experiment: Experiment,
     route: ModelRoute,
+    path: str,
     entry: ModelEntry,
     give_up_at_ms: int,
     rng: random.Random,
@@ -115,7 +122,7 @@
     left_ms = give_up_at_ms - monotonic_ms()
     with anyio.move_on_after(left_ms / 1000):
         await anyio.sleep(way_s)
-        scope = _scope_of(route, left_ms, rng)
+        scope = _scope_of(route, path, left_ms, rng)
         await entry.serve(scope, caller.receive, answer.send)
         if entry.is_dark:
             await anyio.sleep_forever()
@@ -124,8 +131,13 @@
     return answer
 
 
-def _scope_of(route: ModelRoute, left_ms: int, rng: random.Random) -> dict:
-    path = f"/{route.name}/{route.answer_bytes}"
+def _drawn_path(route: ModelRoute, rng: random.Random) -> str:
+    """Return a request's path: one of the route's few, or one of its own."""
+    number = rng.randrange(route.distinct) if route.distinct else next(_numbers)
+    return f"/{route.name}/{number:x}/{route.answer_bytes}"
+
+
+def _scope_of(route: ModelRoute, path: str, left_ms: int, rng: random.Random) -> dict:
     headers = [
         (b"host", HOST.encode()),
         (ATTEMPT_HEADER, b"%016x" % rng.getrandbits(64)),
--- a/src/cinderway/experiment/_connections.py
+++ b/src/cinderway/experiment/_connections.py
@@ -1,8 +1,9 @@
 """An entry's connections to model servers, in place of those over the network."""
 
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 import anyio
 from anyio.abc import TaskGroup
@@ -10,8 +11,8 @@
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import Address, AttemptId, DataHall, ServerName
 from cinderway.entry.servers._messages import BackendAnswer, BackendRequest
-from cinderway.experiment._declaration import Experiment
-from cinderway.experiment._servers import ModelServer, ServerAnswer
+from cinderway.experiment._declaration import Experiment, PoisonRequest
+from cinderway.experiment._servers import ModelServer, ServerAnswer, ServerEndedError
 from cinderway.limits import ConnectLimit
 
 
@@ -34,6 +35,9 @@
     _idle: Counter[Address] = field(default_factory=Counter)
     _connect_limit: ConnectLimit = field(default_factory=ConnectLimit)
 
+    def __post_init__(self):
+        self._may_end = bool(self.experiment.poison)
+
     async def send(
         self,
         address: Address,
@@ -47,13 +51,24 @@
         """Send a request and return its answer's head. Raises CinderwayError."""
         server = self.servers[address]
         way_s = self._way_ms(server) / 1000
+        if server.is_down:
+            # Its kept connections ended with its process, and entries saw that.
+            self._idle[address] = 0
         if not fresh and self._idle[address]:
             self._idle[address] -= 1
         else:
             await self._connect(server, way_s)
         await anyio.sleep(way_s)
-        answer = await self._run(server, deadline_ms)
+        poison = poison_request_of(self.experiment, request.target)
+        answer = await self._run(server, deadline_ms, poison)
         await anyio.sleep(way_s)
+        if answer is None:
+            raise CinderwayError(
+                ErrorCode.BACKEND_FAILED,
+                "the attempt failed: the server closed the connection",
+                step=Step.AWAIT_ANSWER,
+                peer=address,
+            )
         connection = _ModelConnection(self, address)
         size = int(request.target.rpartition(b"/")[2]) if answer.is_good else 0
         if server.data_hall != self.data_hall:
@@ -81,24 +96,49 @@
                 peer=server.address,
             )
         await anyio.sleep(2 * way_s)
+        if server.is_down:
+            raise CinderwayError(
+                ErrorCode.BACKEND_FAILED,
+                "cannot connect: refused",
+                step=Step.CONNECT,
+                peer=server.address,
+            )
         self._connect_limit.note_made(2000 * way_s)
         self.opened += 1
 
-    async def _run(self, server: ModelServer, deadline_ms: int) -> ServerAnswer:
+    async def _run(
+        self, server: ModelServer, deadline_ms: int, poison: PoisonRequest | None
+    ) -> ServerAnswer | None:
         """Let the server work; it stops when this side closes the connection.
 
-        A side without power closes nothing: the server works on.
+        A side without power closes nothing: the server works on. None if the server
+        ended meanwhile.
         """
         run = _Run()
-        self.tasks.start_soon(run.work, server, deadline_ms)
+        # A run that may break off needs a task of its own; most experiments have none.
+        work = partial(server.run, poison=poison) if self._may_end else server.answer
+        self.tasks.start_soon(run.work, server, work, deadline_ms)
         try:
             await run.done.wait()
         finally:
-            if run.answer is None and not self.is_dark:
+            if not run.done.is_set() and not self.is_dark:
                 run.scope.cancel()
         return run.answer
 
 
+def poison_request_of(experiment: Experiment, target: bytes) -> PoisonRequest | None:
+    """Return the declared request that a path stands for, if it ends servers."""
+    for number, poison in enumerate(experiment.poison):
+        if target.startswith(poison_path(poison, number).encode()):
+            return poison
+    return None
+
+
+def poison_path(poison: PoisonRequest, number: int) -> str:
+    """Return the path of the declared request with a number, without its last part."""
+    return f"/{poison.route}/poison-{number}/"
+
+
 @dataclass
 class _Run:
     """One request at a server, in a task of the server's own."""
@@ -107,11 +147,19 @@
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     answer: ServerAnswer | None = None
 
-    async def work(self, server: ModelServer, deadline_ms: int) -> None:
+    async def work(
+        self,
+        server: ModelServer,
+        work: Callable[[int], Awaitable[ServerAnswer]],
+        deadline_ms: int,
+    ) -> None:
         with self.scope:
             if server.is_dark:
                 await anyio.sleep_forever()
-            answer = await server.answer(deadline_ms)
+            try:
+                answer = await work(deadline_ms)
+            except ServerEndedError:
+                answer = None
             if server.is_dark:
                 await anyio.sleep_forever()
             self.answer = answer
--- a/src/cinderway/experiment/_declaration.py
+++ b/src/cinderway/experiment/_declaration.py
@@ -72,6 +72,24 @@
     server_limit: int = 2
     priority: int = 1
     retries: int = 0
+    # How many different requests callers send; 0 where no two are the same.
+    distinct: int = 0
+
+
+class PoisonRequest(_Table):
+    """A request that ends each backend server which begins to run it.
+
+    The same request comes every `every_ms` from `at_ms` to `until_ms`, at any entry. A
+    server ends `ends_after_ms` into its run, with all that it has under way, and is
+    back after `down_ms`.
+    """
+
+    route: str
+    at_ms: int
+    until_ms: int
+    every_ms: int
+    ends_after_ms: int = 80
+    down_ms: int = 3_000
 
 
 class FaultKind(Enum):
@@ -108,6 +126,7 @@
     services: list[ModelService]
     routes: list[ModelRoute]
     faults: list[Fault] = []
+    poison: list[PoisonRequest] = []
     # One way. Source of the values that are left out: the users' data halls.
     own_hall_ms: float = 0.2
     other_hall_ms: float = 1.4
@@ -140,6 +159,11 @@
         if service is not None and service not in services:
             allowed = ", ".join(sorted(services))
             raise _invalid(f"{what} {name}: service {service!r}; allowed: {allowed}")
+    routes = {route.name for route in experiment.routes}
+    for poison in experiment.poison:
+        if poison.route not in routes:
+            allowed = ", ".join(sorted(routes))
+            raise _invalid(f"poison.route: given {poison.route!r}; allowed: {allowed}")
     shares = [("faults.share", fault.share) for fault in experiment.faults]
     shares += [("error_share", s.error_share) for s in experiment.services]
     bursts = [s.bursts for s in experiment.services if s.bursts]
--- a/src/cinderway/experiment/_run.py
+++ b/src/cinderway/experiment/_run.py
@@ -10,11 +10,13 @@
 from cinderway._clock import monotonic_ms
 from cinderway._ids import Address, DataHall, EntryName, ServerName
 from cinderway.experiment._callers import Result, arrivals, ask
+from cinderway.experiment._connections import poison_path
 from cinderway.experiment._declaration import (
     Experiment,
     Fault,
     FaultKind,
     ModelRoute,
+    PoisonRequest,
 )
 from cinderway.experiment._entries import ModelEntry
 from cinderway.experiment._halls import ModelHall, catalog_of
@@ -38,6 +40,11 @@
     began_at_ms: int = 0
     connections_opened: int = 0
     far_bytes: int = 0
+    # When poison requests came to servers and when they ended them, in order.
+    poison_arrivals_ms: list[int] = field(default_factory=list)
+    server_ends_ms: list[int] = field(default_factory=list)
+    # The answers to poison requests.
+    poison_results: list[Result] = field(default_factory=list)
 
 
 def play(experiment: Experiment, seed: int) -> Played:
@@ -80,8 +87,16 @@
                 self.played.connections_opened += entry.connections.opened
                 self.played.far_bytes += entry.connections.far_bytes
         self.played.arrivals = sum(server.arrivals for server in self.servers)
+        self.played.poison_arrivals_ms = self._in_order("poison_arrivals_ms")
+        self.played.server_ends_ms = self._in_order("ended_at_ms")
         return self.played
 
+    def _in_order(self, times: str) -> list[int]:
+        """Return all servers' times of one kind, since callers began to come."""
+        began_at_ms = self.played.began_at_ms
+        found = [at_ms for server in self.servers for at_ms in getattr(server, times)]
+        return sorted(at_ms - began_at_ms for at_ms in found)
+
     def _make_servers(self) -> list[ModelServer]:
         return [
             ModelServer(
@@ -106,6 +121,8 @@
         async with anyio.create_task_group() as callers:
             for fault in self.experiment.faults:
                 callers.start_soon(self._strike, fault, tasks)
+            for number, poison in enumerate(self.experiment.poison):
+                callers.start_soon(self._send_poison, poison, number, callers)
             for hall in self.experiment.halls:
                 for route in self.experiment.routes:
                     callers.start_soon(self._send_stream, route, hall, callers)
@@ -135,6 +152,25 @@
         result = await ask(self.experiment, route, entries, hall, rng)
         self.played.results.append(result)
 
+    async def _send_poison(
+        self, poison: PoisonRequest, number: int, callers: TaskGroup
+    ) -> None:
+        """Send one request again and again, each time at another entry."""
+        rng = random.Random(self.rng.getrandbits(64))
+        (route,) = (r for r in self.experiment.routes if r.name == poison.route)
+        path = f"{poison_path(poison, number)}{route.answer_bytes}"
+
+        async def send() -> None:
+            hall = rng.choice(self.experiment.halls)
+            entries = [entry for entry in self.entries[hall] if not entry.is_dark]
+            result = await ask(self.experiment, route, entries, hall, rng, path)
+            self.played.poison_results.append(result)
+
+        await anyio.sleep(poison.at_ms / 1000)
+        for _ in range(poison.at_ms, poison.until_ms, poison.every_ms):
+            callers.start_soon(send)
+            await anyio.sleep(poison.every_ms / 1000)
+
     async def _strike(self, fault: Fault, tasks: TaskGroup) -> None:
         await anyio.sleep(fault.at_ms / 1000)
         match fault.kind:
--- a/src/cinderway/experiment/_servers.py
+++ b/src/cinderway/experiment/_servers.py
@@ -10,7 +10,11 @@
 from cinderway._clock import monotonic_ms
 from cinderway._ids import Address, DataHall, ServerName
 from cinderway.entry.servers._messages import LOAD_HEADER, NOT_RUN, OUTCOME_HEADER
-from cinderway.experiment._declaration import BurstFailure, ModelService
+from cinderway.experiment._declaration import (
+    BurstFailure,
+    ModelService,
+    PoisonRequest,
+)
 
 OK = 200
 FAILED = 500
@@ -35,9 +39,17 @@
         return self.status == OK
 
 
+class ServerEndedError(Exception):
+    """The server's process ended, with all that it had under way."""
+
+
 @dataclass
 class ModelServer:
-    """One backend server; `arrivals` counts the requests that it got."""
+    """One backend server; `arrivals` counts the requests that it got.
+
+    `ended_at_ms` are the times at which a poison request ended it, and
+    `poison_arrivals_ms` those at which one came.
+    """
 
     name: ServerName
     address: Address
@@ -48,6 +60,11 @@
     slowed: float = 1.0
     is_dark: bool = False
     arrivals: int = 0
+    ended_at_ms: list[int] = field(default_factory=list)
+    poison_arrivals_ms: list[int] = field(default_factory=list)
+    _back_at_ms: float = 0.0
+    # Set when the process that runs now ends.
+    _ended: anyio.Event = field(default_factory=anyio.Event)
     _waiting: deque[anyio.Event] = field(default_factory=deque)
     _burst_from_ms: float = 0.0
     _burst_until_ms: float = 0.0
@@ -60,8 +77,60 @@
             self._burst_from_ms = monotonic_ms() + from_ms
             self._burst_until_ms = self._burst_from_ms + self._part(bursts.length_ms)
 
+    @property
+    def is_down(self) -> bool:
+        """Whether its process has ended and is not back yet."""
+        return monotonic_ms() < self._back_at_ms
+
+    async def run(
+        self, deadline_ms: int, poison: PoisonRequest | None = None
+    ) -> ServerAnswer:
+        """Run one request, which may end the server; a caller that leaves cancels it.
+
+        Raises ServerEndedError if the server ends meanwhile.
+        """
+        if self.is_down:
+            raise ServerEndedError
+        process = self._ended
+        answer: ServerAnswer | None = None
+        async with anyio.create_task_group() as tasks:
+
+            async def give_answer() -> None:
+                nonlocal answer
+                answer = await self._answer_or_end(deadline_ms, poison)
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(give_answer)
+            await process.wait()
+            tasks.cancel_scope.cancel()
+        if answer is None:
+            raise ServerEndedError
+        return answer
+
+    async def _answer_or_end(
+        self, deadline_ms: int, poison: PoisonRequest | None
+    ) -> ServerAnswer:
+        if poison is None:
+            return await self.answer(deadline_ms)
+        self.arrivals += 1
+        self.poison_arrivals_ms.append(monotonic_ms())
+        if not await self._take_slot(deadline_ms):
+            return self._answer(REFUSED, (OUTCOME_HEADER, NOT_RUN))
+        try:
+            await anyio.sleep(poison.ends_after_ms / 1000)
+            self._end(poison.down_ms)
+            await anyio.sleep_forever()
+        finally:
+            self._free_slot()
+
+    def _end(self, down_ms: int) -> None:
+        self.ended_at_ms.append(monotonic_ms())
+        self._back_at_ms = monotonic_ms() + down_ms
+        self._ended.set()
+        self._ended = anyio.Event()
+
     async def answer(self, deadline_ms: int) -> ServerAnswer:
-        """Run one request; a caller that leaves cancels it."""
+        """Run one request that harms nothing."""
         self.arrivals += 1
         failure = self._failure_now()
         if failure is BurstFailure.ERROR:
