entry: a line says under which request a server's connection broke

Cause: an incident's logs cannot tell which requests are the same: a request's line has neither its path nor anything else that its repeats share, and a broken connection no line. Change: what repeats share (method, host, target, account, body) has a keyed digest of 16 bytes, told with each run that broke off, with server and time; runs_broken_total counts them. A connection that ends is told from bytes that are no answer. Leave to send a request says why it ended, and is told what became of the request's runs. No decision differs.

--- a/src/cinderway/_ids.py
+++ b/src/cinderway/_ids.py
@@ -13,5 +13,7 @@
 AccountName = NewType("AccountName", str)
 ApiKey = NewType("ApiKey", str)
 Address = NewType("Address", str)
+# Of what repeats of one request share: keyed, 16 bytes.
+RequestDigest = NewType("RequestDigest", bytes)
 
 NO_REPLICA = ReplicaId(0)
--- a/src/cinderway/entry/_catalog_daemon.py
+++ b/src/cinderway/entry/_catalog_daemon.py
@@ -28,6 +28,7 @@
     HeaderNames,
 )
 from cinderway.judgement import EvidenceLog
+from cinderway.poison import RequestDigests
 from cinderway.wire import Identity
 
 logger = logging.getLogger(__name__)
@@ -55,7 +56,10 @@
     attempts = Attempts(
         dispatcher, metrics, ANSWER_LIMIT_BYTES, pays_for_sheds=True, budget=follower
     )
-    handler = RouteHandler(state, attempts, names, metrics, follower.allowances)
+    digests = RequestDigests(settings.shared_key)
+    handler = RouteHandler(
+        state, attempts, names, metrics, follower.allowances, digests
+    )
     server = http_server(settings.callers_listen, handler, keep_alive_s=KEEP_ALIVE_S)
     async with anyio.create_task_group() as tasks:
         watch = SettingsWatch(settings, follower.use_settings)
--- a/src/cinderway/entry/callers/_attempts.py
+++ b/src/cinderway/entry/callers/_attempts.py
@@ -109,7 +109,7 @@
             # turned away (hanging servers under load: 5.7% of the reads failed in
             # place of 2.4%, one seed).
             objective_at_ms=None if request.tried else request.objective_at_ms,
-            may_be_sent=lambda: request.permit.holds,
+            permit=request.permit,
         ) as exchange:
             answer = await read_whole(
                 self.dispatcher,
@@ -118,6 +118,8 @@
                 request.deadline_ms,
             )
             service.admission.note_service_time(monotonic_ms() - exchange.started_at_ms)
+            if answer.status < SERVER_ERROR:
+                request.permit.note_good_run()
             return answer
 
     async def _raced(
--- a/src/cinderway/entry/callers/_permits.py
+++ b/src/cinderway/entry/callers/_permits.py
@@ -1,14 +1,19 @@
 """Leave to send one request: its key still counts, and its account has room for it."""
 
+import logging
 from dataclasses import dataclass
 
-from cinderway._errors import CinderwayError
+from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._ids import AttemptId, RequestDigest, ServerName
+from cinderway._operators import Metrics
 from cinderway.catalog import AccountRow, RouteRow
 from cinderway.entry._catalog_board import CatalogBoard
 from cinderway.entry.callers._accounts import ANONYMOUS, Identity, identify
-from cinderway.entry.callers._requests import Permit
 from cinderway.entry.fleet._allowances import AllowanceError, Allowances
 from cinderway.entry.servers._messages import Headers
+from cinderway.entry.servers._permit import Permit
+
+logger = logging.getLogger(__name__)
 
 
 @dataclass
@@ -21,7 +26,11 @@
     state: CatalogBoard
     allowances: Allowances
     headers: Headers
+    metrics: Metrics
     identity: Identity = ANONYMOUS
+    # What its repeats share; known once the body is there.
+    digest: RequestDigest | None = None
+    attempt_id: AttemptId | None = None
     _route: RouteRow | None = None
     # The account that the request has taken a token of.
     _paid: AccountRow | None = None
@@ -42,14 +51,19 @@
             await self.allowances.take(account)
             self._paid = account
 
-    @property
-    def holds(self) -> bool:
-        """Whether the key still is the same account's."""
+    def refusal(self) -> CinderwayError | None:
+        """Return why the request may no longer be sent: its key was taken away."""
         try:
             known = identify(self.state.accounts, self._route, self.headers)
-        except CinderwayError:
-            return False
-        return known.account_name == self.identity.account_name
+        except CinderwayError as error:
+            return error
+        if known.account_name == self.identity.account_name:
+            return None
+        return CinderwayError(
+            ErrorCode.ACCOUNT_UNKNOWN,
+            "the request's key belongs to another account now",
+            step=Step.IDENTIFY,
+        )
 
     async def renew(self) -> bool:
         """Say whether one that may have run can be sent once more, and pay for it."""
@@ -63,6 +77,17 @@
             return False
         return True
 
+    def note_broken_run(self, server: ServerName, run_ms: int) -> None:
+        """Tell under which request a server's connection broke."""
+        self.metrics.count("runs_broken_total", {"route": self._route.name})
+        logger.info(
+            "a run of request %s broke off at %s after %d ms; digest %s",
+            self.attempt_id or "unnamed",
+            server,
+            run_ms,
+            self.digest.hex(),
+        )
+
     def give_back(self) -> None:
         """Return the token of a request that no server got, if it took one."""
         paid, self._paid = self._paid, None
--- a/src/cinderway/entry/callers/_relay.py
+++ b/src/cinderway/entry/callers/_relay.py
@@ -57,6 +57,7 @@
     except CinderwayError as error:
         if error.code is ErrorCode.ANSWER_CUT_SHORT:
             dispatcher.evidence.fail(exchange.attempt, Bad.CUT)
+            exchange.note_broken()
         raise
     body = b"".join(parts)
     length = answer.header(b"content-length")
--- a/src/cinderway/entry/callers/_requests.py
+++ b/src/cinderway/entry/callers/_requests.py
@@ -15,6 +15,7 @@
     HeaderNames,
     Headers,
 )
+from cinderway.entry.servers._permit import UNLIMITED, Permit
 from cinderway.routing import USUAL_PENALTIES, Penalties, RouteMatch
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
@@ -47,22 +48,6 @@
     RUN_ONCE = "run-once"
 
 
-class Permit:
-    """Leave to send a request; this one is limited by nothing."""
-
-    @property
-    def holds(self) -> bool:
-        """Whether the request may still be sent at all."""
-        return True
-
-    async def renew(self) -> bool:
-        """Say whether one that may have run can be sent once more, and pay for it."""
-        return True
-
-
-UNLIMITED = Permit()
-
-
 @dataclass(frozen=True)
 class CallerRequest:
     """A whole request with its deadline on this entry's monotonic clock."""
--- a/src/cinderway/entry/callers/_route_handler.py
+++ b/src/cinderway/entry/callers/_route_handler.py
@@ -6,17 +6,23 @@
 
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway._ids import AccountName, AttemptId, CallerName, ServiceName
+from cinderway._ids import (
+    AccountName,
+    AttemptId,
+    CallerName,
+    RequestDigest,
+    ServiceName,
+)
 from cinderway._operators import Metrics
 from cinderway.catalog import RouteRow, pick_service
 from cinderway.entry._catalog_board import CatalogBoard
-from cinderway.entry.callers._accounts import headers_for_servers
+from cinderway.entry.callers._accounts import AUTHORIZATION, headers_for_servers
 from cinderway.entry.callers._answers import problem_answer
 from cinderway.entry.callers._attempts import Attempts
 from cinderway.entry.callers._outcomes import OutcomeError
@@ -35,6 +41,7 @@
     HeaderNames,
 )
 from cinderway.ledger import Resolution
+from cinderway.poison import RequestDigests
 from cinderway.reports import RequestLine
 from cinderway.reports._request_line import NONE
 
@@ -66,6 +73,7 @@
     names: HeaderNames
     metrics: Metrics
     allowances: Allowances
+    digests: RequestDigests = field(default_factory=RequestDigests)
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one request, from its route to its final answer."""
@@ -126,7 +134,9 @@
         await self._wait_for_sheet(scope, served.started_at_ms)
         served.route = route = self._route_of(scope)
         # Before the body: whoever may not send it need not.
-        permit = AccountPermit(self.state, self.allowances, scope["headers"])
+        permit = AccountPermit(
+            self.state, self.allowances, scope["headers"], self.metrics
+        )
         served.permit = permit
         await permit.take(route)
         deadline_ms = self._deadline_of(scope, route, served.started_at_ms)
@@ -135,8 +145,12 @@
         served.route = route = self._route_of(scope)
         await permit.take(route)
         served.service = pick_service(route, self.state.board.rng)
-        served.request = self._request_of(scope, route, served, deadline_ms, body)
-        await self._attempt(route, served.service, served.request, receive, reply)
+        served.request = request = self._request_of(
+            scope, route, served, deadline_ms, body
+        )
+        permit.attempt_id = request.attempt_id
+        permit.digest = self._digest_of(request)
+        await self._attempt(route, served.service, request, receive, reply)
 
     def _request_of(
         self,
@@ -171,6 +185,14 @@
             permit=served.permit,
         )
 
+    def _digest_of(self, request: CallerRequest) -> RequestDigest:
+        """Return what all repeats of a request share, at whichever entry they come."""
+        sent = request.backend_request
+        # Without accounts only what a request carries tells its caller.
+        caller = request.caller.encode() or request.header(AUTHORIZATION) or b""
+        host = request.header(b"host") or b""
+        return self.digests.of(sent.method, host, sent.target, caller, sent.body)
+
     async def _wait_for_sheet(self, scope: dict, now_ms: int) -> None:
         if self.state.routes is not None:
             return
--- a/src/cinderway/entry/servers/_backends.py
+++ b/src/cinderway/entry/servers/_backends.py
@@ -25,6 +25,10 @@
 SENDING_BEGAN = "http11.send_request_headers.started"
 
 
+class ConnectionLostError(CinderwayError):
+    """The server's side of a connection ended while a request was there."""
+
+
 class _Stream(httpcore.AsyncNetworkStream):
     """An anyio stream for httpcore, without a timer for each read and write.
 
@@ -34,14 +38,18 @@
 
     def __init__(self, stream: anyio.abc.SocketStream):
         self._stream = stream
+        # Whether the server's side of the connection is gone.
+        self.has_ended = False
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return what is there, or b"" at the end."""
         try:
             return await self._stream.receive(max_bytes)
         except anyio.EndOfStream:
+            self.has_ended = True
             return b""
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            self.has_ended = True
             raise httpcore.ReadError(str(error)) from error
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
@@ -51,6 +59,7 @@
         try:
             await self._stream.send(buffer)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            self.has_ended = True
             raise httpcore.WriteError(str(error)) from error
 
     async def aclose(self) -> None:
@@ -72,6 +81,7 @@
 @dataclass
 class _PooledConnection:
     address: Address
+    stream: _Stream
     http: httpcore.AsyncHTTP11Connection
     pool: "BackendConnections"
     is_reusable: bool = False
@@ -199,12 +209,13 @@
             ) from error
         self.opened += 1
         self.connect_limit.note_made(monotonic_ms() - began_ms)
+        own_stream = _Stream(stream)
         http = httpcore.AsyncHTTP11Connection(
             httpcore.Origin(b"http", host.encode(), port),
-            _Stream(stream),
+            own_stream,
             keepalive_expiry=IDLE_LIMIT_S,
         )
-        return _PooledConnection(address, http, self)
+        return _PooledConnection(address, own_stream, http, self)
 
     def _http_request(
         self,
@@ -238,7 +249,10 @@
     connection: _PooledConnection, address: Address, error: Exception
 ) -> CinderwayError:
     step = Step.AWAIT_ANSWER if connection.sending_began else Step.CONNECT
-    return CinderwayError(
+    # Bytes that are no answer are not taken for a connection that broke.
+    has_ended = step is Step.AWAIT_ANSWER and connection.stream.has_ended
+    kind = ConnectionLostError if has_ended else CinderwayError
+    return kind(
         ErrorCode.BACKEND_FAILED,
         f"the attempt failed: {str(error) or type(error).__name__}",
         step=step,
--- a/src/cinderway/entry/servers/_dispatch.py
+++ b/src/cinderway/entry/servers/_dispatch.py
@@ -1,6 +1,6 @@
 """Bring a request to a backend server: wait for a slot, attempt, note what came."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -10,13 +10,14 @@
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import AttemptId, ServerName
 from cinderway.entry._blackboard import Blackboard, ServerState, ServiceState
-from cinderway.entry.servers._backends import BackendConnections
+from cinderway.entry.servers._backends import BackendConnections, ConnectionLostError
 from cinderway.entry.servers._load_report import parse_load
 from cinderway.entry.servers._messages import (
     DRAIN_HEADER,
     BackendAnswer,
     BackendRequest,
 )
+from cinderway.entry.servers._permit import UNLIMITED, Permit
 from cinderway.entry.servers._slots import Slots, WantedSlot
 from cinderway.judgement import (
     DRAIN_VALID_MS,
@@ -43,6 +44,12 @@
     server: ServerState
     attempt: Attempt
     started_at_ms: int
+    permit: Permit = UNLIMITED
+
+    def note_broken(self) -> None:
+        """Note that the connection broke before the answer's end."""
+        run_ms = monotonic_ms() - self.started_at_ms
+        self.permit.note_broken_run(self.server.row.name, run_ms)
 
 
 @dataclass
@@ -77,7 +84,7 @@
         is_repeatable: bool,
         penalties: Penalties = USUAL_PENALTIES,
         objective_at_ms: int | None = None,
-        may_be_sent: Callable[[], bool] = lambda: True,
+        permit: Permit = UNLIMITED,
     ) -> AsyncIterator[Exchange]:
         """Yield the head of one server's answer; its slot is held until the exit.
 
@@ -87,11 +94,9 @@
         server got nothing; BACKEND_SHED is the server's own word that it did not
         run the request. QUEUE_FULL means that its answer would come after
         `objective_at_ms`, where that is given, because of the servers' queues.
-        ACCOUNT_UNKNOWN means that leave to send it ended while it waited for a slot.
+        Where `permit` ends while it waits for a slot, the error has its refusal's code.
         """
-        wanted = WantedSlot(
-            deadline_ms, exclude, penalties, objective_at_ms, may_be_sent
-        )
+        wanted = WantedSlot(deadline_ms, exclude, penalties, objective_at_ms, permit)
         server = await self.slots.take(service, wanted)
         self._note_send(server, monotonic_ms())
         exclude.add(server.row.name)
@@ -104,9 +109,10 @@
                 attempt_id,
                 deadline_ms,
                 is_fresh=not is_repeatable,
+                permit=permit,
             )
             try:
-                exchange = Exchange(answer, server, attempt, attempt.mark_ms)
+                exchange = Exchange(answer, server, attempt, attempt.mark_ms, permit)
                 self._note_head(service, exchange)
                 yield exchange
             finally:
@@ -169,6 +175,7 @@
         deadline_ms: int,
         *,
         is_fresh: bool,
+        permit: Permit = UNLIMITED,
     ) -> BackendAnswer:
         """Send over a connection, a new one if `is_fresh`; failures are evidence."""
         self.attempts += 1
@@ -195,6 +202,9 @@
             is_unreachable = error.step is Step.CONNECT
             kind = Bad.UNREACHABLE if is_unreachable else Bad.CUT
             self.evidence.fail(attempt, kind)
+            if isinstance(error, ConnectionLostError):
+                run_ms = monotonic_ms() - attempt.mark_ms
+                permit.note_broken_run(server.row.name, run_ms)
             raise
 
     def _note_head(self, service: ServiceState, exchange: Exchange) -> None:
--- a/src/cinderway/entry/servers/_slots.py
+++ b/src/cinderway/entry/servers/_slots.py
@@ -5,7 +5,6 @@
 be sent.
 """
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
@@ -16,6 +15,7 @@
 from cinderway.entry._blackboard import Blackboard, ServerState, ServiceState
 from cinderway.entry.servers._backends import BackendConnections
 from cinderway.entry.servers._candidates import free_candidates
+from cinderway.entry.servers._permit import Permit
 from cinderway.judgement import EvidenceLog
 from cinderway.limits import expected_answer_ms, is_hopeless, plan_connections
 from cinderway.routing import Candidate, Penalties, choose, own_subset
@@ -33,7 +33,7 @@
     exclude: set[ServerName]
     penalties: Penalties
     objective_at_ms: int | None
-    may_be_sent: Callable[[], bool]
+    permit: Permit
 
 
 @dataclass
@@ -127,12 +127,13 @@
 
 
 def _require_leave(wanted: WantedSlot) -> None:
-    if not wanted.may_be_sent():
+    refusal = wanted.permit.refusal()
+    if refusal is not None:
         raise CinderwayError(
-            ErrorCode.ACCOUNT_UNKNOWN,
-            "the request's key was taken away while it waited for a slot",
+            refusal.code,
+            f"while the request waited for a slot: {refusal.detail}",
             step=Step.QUEUE,
-        )
+        ) from refusal
 
 
 def _next_change_ms(service: ServiceState, now_ms: int, give_up_at_ms: float) -> float:
--- a/src/cinderway/experiment/_connections.py
+++ b/src/cinderway/experiment/_connections.py
@@ -10,6 +10,7 @@
 
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import Address, AttemptId, DataHall, ServerName
+from cinderway.entry.servers._backends import ConnectionLostError
 from cinderway.entry.servers._messages import BackendAnswer, BackendRequest
 from cinderway.experiment._declaration import Experiment, PoisonRequest
 from cinderway.experiment._servers import ModelServer, ServerAnswer, ServerEndedError
@@ -63,7 +64,7 @@
         answer = await self._run(server, deadline_ms, poison)
         await anyio.sleep(way_s)
         if answer is None:
-            raise CinderwayError(
+            raise ConnectionLostError(
                 ErrorCode.BACKEND_FAILED,
                 "the attempt failed: the server closed the connection",
                 step=Step.AWAIT_ANSWER,
--- a/tests/entry/callers/test_route_handler.py
+++ b/tests/entry/callers/test_route_handler.py
@@ -172,6 +172,17 @@
         self.state.current_at_ms = monotonic_ms() - OUTDATED_MS - 1_000
         self.assertEqual(anyio.run(self.serve, caller), [503])
 
+    def test_a_run_that_broke_off_is_logged_by_what_repeats_share(self):
+        self.install(1)
+        with self.assertLogs("cinderway.entry.callers._permits") as logs:
+            for attempt in (b"a1", b"a2"):
+                caller = Caller(60_000, headers=[(b"cinderway-attempt", attempt)])
+                anyio.run(self.serve, caller)
+                self.attempts.requests[-1].permit.note_broken_run("i-1", 90)
+        first, second = (line.partition("a run of request ")[2] for line in logs.output)
+        self.assertTrue(first.startswith("a1 broke off at i-1 after 90 ms; digest "))
+        self.assertEqual(first.removeprefix("a1"), second.removeprefix("a2"))
+
     def test_a_request_that_comes_before_the_sheet_waits_for_it(self):
         async def scenario():
             caller = Caller(deadline_ms=60_000)
--- a/tests/entry/servers/test_backends.py
+++ b/tests/entry/servers/test_backends.py
@@ -7,7 +7,7 @@
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway.entry.servers._backends import BackendConnections
+from cinderway.entry.servers._backends import BackendConnections, ConnectionLostError
 from cinderway.entry.servers._messages import (
     BackendRequest,
     HeaderNames,
@@ -132,6 +132,13 @@
         self.assertIs(result.code, ErrorCode.BACKEND_FAILED)
         self.assertIs(result.step, Step.AWAIT_ANSWER)
 
+    def test_a_connection_that_ends_is_told_from_bytes_that_are_no_answer(self):
+        ended, cut = (ask(Server(sent), "a1")[0] for sent in (b"", b"HTTP/1.1 2"))
+        garbled = ask(Server(b"no answer at all\r\n\r\n"), "a1")[0]
+        self.assertIsInstance(ended, ConnectionLostError)
+        self.assertIsInstance(cut, ConnectionLostError)
+        self.assertNotIsInstance(garbled, ConnectionLostError)
+
     def test_a_connection_that_sent_more_than_its_answer_is_not_used_again(self):
         surplus = answer(attempt="a2", body=b"not yours")
         server = Server(answer(more=surplus), answer(attempt="a2"), b"")
--- a/tests/entry/servers/test_dispatch.py
+++ b/tests/entry/servers/test_dispatch.py
@@ -9,10 +9,12 @@
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import Address, AttemptId, DataHall, EntryName, ServerName
 from cinderway.entry._blackboard import Blackboard
+from cinderway.entry.servers._backends import ConnectionLostError
 from cinderway.entry.servers._dispatch import Dispatcher
 from cinderway.entry.servers._messages import (
     BackendRequest,
 )
+from cinderway.entry.servers._permit import Permit
 from cinderway.judgement import EvidenceLog
 from cinderway.routing import Penalties
 from cinderway.table import ServerRow, ServiceRow
@@ -33,6 +35,39 @@
         raise CinderwayError(ErrorCode.BACKEND_FAILED, "no way", step=Step.CONNECT)
 
 
+class EndedServers(UnreachableServers):
+    """Connections that servers close while a request is there."""
+
+    async def send(self, address, request, attempt_id, deadline_ms, **how):
+        self.tried.append(how["expected"])
+        raise ConnectionLostError(
+            ErrorCode.BACKEND_FAILED, "it closed", step=Step.AWAIT_ANSWER
+        )
+
+
+class Noting(Permit):
+    """Leave to send a request; notes where it broke off."""
+
+    def __init__(self):
+        self.broken = []
+
+    def note_broken_run(self, server, run_ms):
+        self.broken.append(server)
+
+
+class TakenAway(Permit):
+    """Leave to send a request until its key is taken away."""
+
+    is_taken_away = False
+
+    def refusal(self):
+        if not self.is_taken_away:
+            return None
+        return CinderwayError(
+            ErrorCode.ACCOUNT_UNKNOWN, "no such key", step=Step.IDENTIFY
+        )
+
+
 def server(name, hall):
     return ServerRow(
         name=ServerName(name),
@@ -80,19 +115,28 @@
         self.first_choice(Penalties())
         self.assertEqual(self.service.servers["near"].in_flight, 0)
 
+    def test_a_permit_is_told_where_its_request_broke_off(self):
+        unreachable, ended = Noting(), Noting()
+        with self.assertRaises(CinderwayError):
+            anyio.run(lambda: self.attempt(permit=unreachable))
+        self.dispatcher.connections = EndedServers()
+        with self.assertRaises(CinderwayError):
+            anyio.run(lambda: self.attempt(permit=ended))
+        self.assertEqual(unreachable.broken, [])
+        self.assertEqual(ended.broken, self.dispatcher.connections.tried)
+
     def test_a_request_whose_key_is_taken_away_while_it_waits_is_not_sent(self):
         """Only further servers were checked: one that waited went out all the same."""
-        holds = [True]
+        permit = TakenAway()
         for waiting_for in self.service.servers.values():
             waiting_for.in_flight = waiting_for.row.slots
             waiting_for.pause_until_ms = monotonic_ms() + 60_000
 
         async def take_the_key_away():
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(lambda: self.attempt(may_be_sent=lambda: holds[0]))
+                tasks.start_soon(lambda: self.attempt(permit=permit))
                 await anyio.wait_all_tasks_blocked()
-                holds.clear()
-                holds.append(False)
+                permit.is_taken_away = True
                 for freed in self.service.servers.values():
                     freed.in_flight = freed.pause_until_ms = 0
                 self.service.free_slot()
--- a/tests/entry/test_catalog_board.py
+++ b/tests/entry/test_catalog_board.py
@@ -22,6 +22,7 @@
 from cinderway.entry._catalog_board import CatalogBoard
 from cinderway.entry.servers._backends import BackendConnections
 from cinderway.entry.servers._dispatch import Dispatcher
+from cinderway.entry.servers._permit import UNLIMITED
 from cinderway.entry.servers._slots import WantedSlot
 from cinderway.judgement import EvidenceLog
 from cinderway.routing import USUAL_PENALTIES, Penalties
@@ -73,7 +74,7 @@
             exclude=set(),
             penalties=penalties,
             objective_at_ms=None,
-            may_be_sent=lambda: True,
+            permit=UNLIMITED,
         )
         return self.dispatcher.slots._free_server(service, wanted, monotonic_ms()).name
 
