poison: what is refused is replicated, so that a loss of all power does not forget it

Cause: rulings were held in memory only. Entries and replicas that start again tell each other, but where all lose power at once a request would end three more servers, each time. Ruled out: rulings by the log alone: nothing would be refused while there is no leader. The end is stored as Unix time.

--- a/src/cinderway/catalog/__init__.py
+++ b/src/cinderway/catalog/__init__.py
@@ -11,10 +11,12 @@
     AccountUse,
 )
 from cinderway.catalog._commands import (
+    AllowRequest,
     AnnounceReplica,
     Command,
     Deregister,
     InstallSheet,
+    RefuseRequest,
     Register,
     Reinstate,
     decode_command,
@@ -86,6 +88,7 @@
     "AccountIndex",
     "AccountRow",
     "AccountUse",
+    "AllowRequest",
     "AnnounceReplica",
     "AskAllowances",
     "CallerLimits",
@@ -106,6 +109,7 @@
     "HeldAllowance",
     "InstallSheet",
     "Installed",
+    "RefuseRequest",
     "Register",
     "RegisteredServer",
     "Registry",
--- a/src/cinderway/catalog/_commands.py
+++ b/src/cinderway/catalog/_commands.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cinderway._ids import Address, DataHall, ServerName
+from cinderway._ids import Address, DataHall, RequestDigest, ServerName
 from cinderway.catalog._packing import pack, unpack
 from cinderway.catalog._registry import UNTOLD, RegisteredServer
 
@@ -67,7 +67,35 @@
     http_address: Address = msgspec.field(name="operators_address")
 
 
-Command = InstallSheet | Register | Reinstate | Deregister | AnnounceReplica
+class RefuseRequest(msgspec.Struct, frozen=True, tag="refuse"):
+    """Keep that a request is not sent to servers, also when all power is lost.
+
+    `until_ms` is the Unix time at which that ends, by the leader's clock; the other
+    fields are those of `cinderway.poison.Ruling`.
+    """
+
+    digest: RequestDigest
+    round_number: int
+    until_ms: int
+    servers: list[ServerName]
+    refusals: int
+
+
+class AllowRequest(msgspec.Struct, frozen=True, tag="allow"):
+    """Forget that a request is refused."""
+
+    digest: RequestDigest
+
+
+Command = (
+    InstallSheet
+    | Register
+    | Reinstate
+    | Deregister
+    | AnnounceReplica
+    | RefuseRequest
+    | AllowRequest
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Command)
--- a/src/cinderway/catalog/_machine.py
+++ b/src/cinderway/catalog/_machine.py
@@ -9,11 +9,13 @@
 
 import msgspec
 
-from cinderway._ids import Address, ServerName
+from cinderway._ids import Address, RequestDigest, ServerName
 from cinderway.catalog._commands import (
+    AllowRequest,
     AnnounceReplica,
     Deregister,
     InstallSheet,
+    RefuseRequest,
     Register,
     Reinstate,
     decode_command,
@@ -30,6 +32,10 @@
 
 logger = logging.getLogger(__name__)
 
+# Some 100 bytes each in a snapshot. A fleet that has had three servers ended by each of
+# so many requests has other worries.
+REFUSED_LIMIT = 1_024
+
 
 class Installed(msgspec.Struct, frozen=True):
     """What a sheet's installation came to: the version now in force."""
@@ -51,6 +57,7 @@
     displaced: list[RegisteredServer] = []
     # None in snapshots of builds that took an id for one start.
     newest: dict[ServerName, NewestStart] | None = None
+    refused: list[RefuseRequest] = []
 
 
 class CatalogMachine:
@@ -62,6 +69,8 @@
         self.sheet_body = b""
         self.registry = Registry()
         self.replicas: dict[Address, AnnounceReplica] = {}
+        # No part of the revision: entries hear of these as news.
+        self.refused: dict[RequestDigest, RefuseRequest] = {}
         self._sheet_revision = 0
         self._packed = b""
         self._server_revisions: dict[ServerName, int] = {}
@@ -95,6 +104,11 @@
             case AnnounceReplica() as replica:
                 self.replicas[replica.address] = replica
                 return None
+            case RefuseRequest() as refused:
+                return self._refuse(refused)
+            case AllowRequest(digest=digest):
+                self.refused.pop(digest, None)
+                return None
 
     def freeze(self) -> Callable[[], bytes]:
         """Return what encodes the state as of now, later and in another thread."""
@@ -108,6 +122,7 @@
             list(self.replicas.values()),
             list(self.registry.displaced.values()),
             dict(self.registry.newest),
+            list(self.refused.values()),
         )
         return lambda: msgspec.msgpack.encode(state)
 
@@ -123,6 +138,7 @@
         self.registry.restore(state.servers, state.gone, state.displaced, state.newest)
         self._server_revisions = state.server_revisions
         self.replicas = {replica.address: replica for replica in state.replicas}
+        self.refused = {refused.digest: refused for refused in state.refused}
 
     def update_since(self, revision: int) -> CatalogUpdate:
         """Return what one who knows the catalog at a revision lacks."""
@@ -162,6 +178,14 @@
         self.revision = self._sheet_revision = index
         return Installed(sheet.version, is_changed=True)
 
+    def _refuse(self, refused: RefuseRequest) -> None:
+        """Keep a refusal as the newest; where there are too many the oldest goes."""
+        self.refused.pop(refused.digest, None)
+        if len(self.refused) >= REFUSED_LIMIT:
+            self.refused.pop(next(iter(self.refused)))
+        self.refused[refused.digest] = refused
+        logger.info("a refusal is stored: digest %s", refused.digest.hex())
+
     def _note(self, index: int, change: RegistryChange) -> RegistryChange:
         if not change.is_empty:
             self.revision = index
--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -36,6 +36,7 @@
 from cinderway.control._commands import Commands, ReplicaCalls
 from cinderway.control._follower import HEARTBEAT_S, SEND_TIMEOUT_S, Follower
 from cinderway.control._hall_service import HallService
+from cinderway.control._poison_store import PoisonStore
 from cinderway.replication import Node
 from cinderway.wire import (
     Connection,
@@ -77,7 +78,11 @@
             tasks.start_soon(self._announce)
             tasks.start_soon(self.hall.run)
             tasks.start_soon(self.allowances.run)
-            await self._wake_followers()
+            store = PoisonStore(
+                self.node, self.machine, self.commands, self.hall.poison
+            )
+            tasks.start_soon(store.run)
+            await self._wake_followers(store)
 
     def knowledge_age_ms(self) -> int:
         """How old what this replica hands out may be."""
@@ -229,10 +234,15 @@
             self.knowledge_age_ms(), self.machine.revision, len(self.hall.followers)
         )
 
-    async def _wake_followers(self) -> None:
-        """Let followers look for updates whenever an entry of the log is applied."""
+    async def _wake_followers(self, store: PoisonStore) -> None:
+        """Let followers look for updates whenever an entry of the log is applied.
+
+        An entry that starts with the fleet gets its first sheet so, and with it which
+        requests are refused.
+        """
         while True:
             await self.node.wait_applied()
+            store.take_over()
             for follower in self.hall.followers:
                 follower.wake()
 
--- a/src/cinderway/control/_poison_news.py
+++ b/src/cinderway/control/_poison_news.py
@@ -5,7 +5,7 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 import anyio
@@ -83,8 +83,12 @@
     def learn(self, told: RequestRulings) -> None:
         """Take over what an entry or another replica holds, where it is newer."""
         now_ms = monotonic_ms()
-        for line in told.lines:
-            ruling = line.ruling(now_ms)
+        self.take_over(line.ruling(now_ms) for line in told.lines)
+
+    def take_over(self, rulings: Iterable[Ruling]) -> None:
+        """Put rulings in force that are newer than what is held."""
+        now_ms = monotonic_ms()
+        for ruling in rulings:
             if self.tally.learn(ruling, now_ms):
                 self._note(ruling)
 
--- a/tests/system/test_catalog.py
+++ b/tests/system/test_catalog.py
@@ -310,6 +310,82 @@
         self.ask_until(200, "/once/x", "back", "POST")
 
 
+class PoisonTests(CatalogCase):
+    """A request ends each server which runs it, and comes again at any entry."""
+
+    entries = 2
+
+    def setUp(self):
+        super().setUp()
+        third = RegisteredServer("i-look3", "lookup")
+        self.addCleanup(third.stop)
+        self.servers["look3"] = third
+        self.fleet.register(third)
+        for name in ("look1", "look2", "look3"):
+            self.servers[name].behave = lambda attempt: (
+                "drop" if attempt.startswith("bad") else 200
+            )
+        self.asked = 0
+
+    def ask_bad(self, entry):
+        """Send the request's next repeat to an entry."""
+        self.asked += 1
+        headers = {"host": "a.example", "cinderway-attempt": f"bad-{self.asked}"}
+        return call(self.fleet.callers[entry], "GET", "/look/bad", b"", headers)
+
+    def is_refused(self, entry):
+        answer = self.ask_bad(entry)
+        return answer.status == 503 and b"request-ends-servers" in answer.body
+
+    def bad_runs(self):
+        names = [name for server in self.servers.values() for name in server.runs]
+        return sum(name.startswith("bad") for name in names)
+
+    def test_it_is_refused_everywhere_also_after_a_loss_of_all_power(self):
+        for entry in (0, 1):
+            wait_for(lambda entry=entry: self.is_refused(entry), "a refusal")
+        # Until all know it, each repeat may be sent; three ends are the least.
+        runs = self.bad_runs()
+        self.assertGreaterEqual(runs, 3)
+        for entry in (0, 1, 0, 1):
+            self.assertTrue(self.is_refused(entry))
+        self.assertEqual(self.ask("/look/good", "good-1").status, 200)
+        self.lose_power()
+        for entry in (0, 1):
+            wait_for(lambda entry=entry: self.is_refused(entry), "a refusal")
+        self.assertEqual(self.bad_runs(), runs)
+        self.ask_until(200, "/look/good", "good-2")
+
+    def lose_power(self):
+        """Kill all processes of the fleet at once, and start them again."""
+        wait_for(self.is_stored, "the refusal stored by a majority")
+        names = [f"control-{number}" for number in range(3)]
+        for name in [*names, "entry-0", "entry-1"]:
+            self.fleet.kill(name)
+        logged = [len(self.fleet.log_of(f"entry-{number}")) for number in range(2)]
+        for number in range(3):
+            self.fleet.start_control(number)
+        for number in range(2):
+            self.fleet.start_entry(number)
+        for number in range(2):
+            self.fleet.wait_ready(number)
+            wait_for(
+                lambda number=number: self.knows(number, logged[number]),
+                "the refusal known again",
+            )
+
+    def knows(self, number, logged):
+        """Whether an entry has logged since then that a request is refused."""
+        return "is refused" in self.fleet.log_of(f"entry-{number}")[logged:]
+
+    def is_stored(self):
+        stored = [
+            self.fleet.log_of(f"control-{number}").count("a refusal is stored")
+            for number in range(3)
+        ]
+        return sum(map(bool, stored)) >= 2
+
+
 class LossTests(CatalogCase):
     def test_entries_serve_while_control_is_away(self):
         for number in range(3):
