control, cli: operators list, lift and add refused requests

Cause: a request that is refused for ten minutes can be mended at the servers in one; and one whose digest is known from its first broken run need not end two more. Change: GET, PUT and DELETE /v1/refusals, cinderway refusals list, lift, add.

--- a/src/cinderway/_cli/_main.py
+++ b/src/cinderway/_cli/_main.py
@@ -10,6 +10,7 @@
 from cinderway._cli._claims import claims
 from cinderway._cli._experiment import experiment
 from cinderway._cli._options import exit_on_error, with_settings
+from cinderway._cli._refusals import refusals
 from cinderway._cli._report import report
 from cinderway._cli._servers import servers
 from cinderway._cli._table import table
@@ -31,6 +32,7 @@
 app.add_typer(table, name="table")
 app.add_typer(claims, name="claims")
 app.add_typer(report, name="report")
+app.add_typer(refusals, name="refusals")
 app.command()(experiment)
 app.command()(accounts)
 app.command()(servers)
--- a/src/cinderway/_cli/_replica_http.py
+++ b/src/cinderway/_cli/_replica_http.py
@@ -16,11 +16,16 @@
 
 
 def read_from(replica: str, path: str) -> bytes:
-    """Return what a replica answers; raises CinderwayError if it does not with 200."""
+    """Return what a replica lists; raises CinderwayError if it does not."""
+    return call_replica("GET", replica, path)
+
+
+def call_replica(method: str, replica: str, path: str) -> bytes:
+    """Return a replica's answer; raises CinderwayError if its status is not 200."""
     limits = dict.fromkeys(("connect", "read", "write", "pool"), TIMEOUT_S)
     try:
         answer = httpcore.request(
-            "GET", f"http://{replica}{path}", extensions={"timeout": limits}
+            method, f"http://{replica}{path}", extensions={"timeout": limits}
         )
     except (httpcore.NetworkError, httpcore.TimeoutException) as error:
         raise CinderwayError(
--- a/src/cinderway/_errors.py
+++ b/src/cinderway/_errors.py
@@ -13,6 +13,7 @@
     RULE_BROKEN = "rule-broken"
     SHEET_INVALID = "sheet-invalid"
     HEARTBEAT_INVALID = "heartbeat-invalid"
+    DIGEST_INVALID = "digest-invalid"
     GROUP_TOO_SMALL = "group-too-small"
     REVISION_CONFLICT = "revision-conflict"
     EDIT_ID_REUSED = "edit-id-reused"
--- a/src/cinderway/catalog/__init__.py
+++ b/src/cinderway/catalog/__init__.py
@@ -60,6 +60,7 @@
 )
 from cinderway.catalog._machine import CatalogMachine, Installed
 from cinderway.catalog._mirror import CatalogMirror
+from cinderway.catalog._refusals import REFUSALS_PATH, RefusalRow, parse_digest
 from cinderway.catalog._registry import (
     SERVERS_PATH,
     UNTOLD,
@@ -83,6 +84,7 @@
     "ACCOUNTS_PATH",
     "CATALOG",
     "NO_LOAD",
+    "REFUSALS_PATH",
     "SERVERS_PATH",
     "UNTOLD",
     "AccountIndex",
@@ -109,6 +111,7 @@
     "HeldAllowance",
     "InstallSheet",
     "Installed",
+    "RefusalRow",
     "RefuseRequest",
     "Register",
     "RegisteredServer",
@@ -143,5 +146,6 @@
     "decode_heartbeat",
     "decode_sheet",
     "encode_command",
+    "parse_digest",
     "pick_service",
 ]
--- a/src/cinderway/catalog/_commands.py
+++ b/src/cinderway/catalog/_commands.py
@@ -79,6 +79,8 @@
     until_ms: int
     servers: list[ServerName]
     refusals: int
+    # By an operator.
+    is_barred: bool = False
 
 
 class AllowRequest(msgspec.Struct, frozen=True, tag="allow"):
--- a/src/cinderway/control/_catalog_http.py
+++ b/src/cinderway/control/_catalog_http.py
@@ -6,6 +6,9 @@
     DELETE /v1/servers/ID    a backend server leaves for good
     GET    /v1/servers       the registered servers and their starts, as known here
     GET    /v1/accounts      client accounts and their use by this replica's entries
+    GET    /v1/refusals      requests under which servers ended, as known here
+    PUT    /v1/refusals/D    refuse the request with a digest, everywhere
+    DELETE /v1/refusals/D    let it be sent again, everywhere
 
 An answer of 4xx is final; after 503 the call may be repeated here or elsewhere.
 """
@@ -18,12 +21,14 @@
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._http_body import whole_body
-from cinderway._ids import ServerName
+from cinderway._ids import RequestDigest, ServerName
 from cinderway.catalog import (
     ACCOUNTS_PATH,
+    REFUSALS_PATH,
     SERVERS_PATH,
     Deregister,
     InstallSheet,
+    RefusalRow,
     Register,
     RegisteredServer,
     Reinstate,
@@ -31,6 +36,7 @@
     decode_farewell,
     decode_heartbeat,
     decode_sheet,
+    parse_digest,
 )
 from cinderway.control._catalog_service import CatalogService
 from cinderway.control._displaced_heard import DisplacedHeard
@@ -40,6 +46,7 @@
 
 SHEET_PATH = "/v1/sheet"
 SERVERS_PREFIX = f"{SERVERS_PATH}/"
+REFUSALS_PREFIX = f"{REFUSALS_PATH}/"
 SHEET_LIMIT_BYTES = 32 * 1024 * 1024
 HEARTBEAT_LIMIT_BYTES = 64 * 1024
 # Within the second that callers wait for an answer.
@@ -50,6 +57,7 @@
 STATUS_OF_CODE = {
     ErrorCode.SHEET_INVALID: 400,
     ErrorCode.HEARTBEAT_INVALID: 400,
+    ErrorCode.DIGEST_INVALID: 400,
     ErrorCode.REQUEST_TOO_LARGE: 413,
 }
 OK = 200
@@ -111,6 +119,14 @@
                 return self._list_accounts()
             case ("GET", path) if path == SERVERS_PATH:
                 return self._list_servers()
+            case ("GET", path) if path == REFUSALS_PATH:
+                return self._list_refusals()
+            case ("PUT", path) if path.startswith(REFUSALS_PREFIX):
+                self.service.hall.poison.refuse(_digest_in(path))
+                return Answer(OK)
+            case ("DELETE", path) if path.startswith(REFUSALS_PREFIX):
+                self.service.hall.poison.lift(_digest_in(path))
+                return Answer(OK)
             case ("PUT", path) if path.startswith(SERVERS_PREFIX):
                 server_id = check_server_id(path.removeprefix(SERVERS_PREFIX))
                 return await self._put_server(server_id, receive)
@@ -146,6 +162,11 @@
         found = self.service.allowances.uses(monotonic_ms())
         return Answer(OK, msgspec.json.encode(found))
 
+    def _list_refusals(self) -> Answer:
+        now_ms = monotonic_ms()
+        held = self.service.hall.poison.tally.rulings(now_ms)
+        return Answer(OK, msgspec.json.encode([RefusalRow.of(r, now_ms) for r in held]))
+
     def _list_servers(self) -> Answer:
         found = list(self.service.machine.registry.servers.values())
         return Answer(OK, msgspec.json.encode(found))
@@ -185,6 +206,10 @@
         return Answer(OK)
 
 
+def _digest_in(path: str) -> RequestDigest:
+    return parse_digest(path.removeprefix(REFUSALS_PREFIX))
+
+
 def _log_server(server: RegisteredServer, what: str) -> None:
     logger.info(
         "backend server %s of %s at %s, %s, is %s",
--- a/src/cinderway/control/_poison_news.py
+++ b/src/cinderway/control/_poison_news.py
@@ -92,6 +92,18 @@
             if self.tally.learn(ruling, now_ms):
                 self._note(ruling)
 
+    def refuse(self, digest: RequestDigest) -> None:
+        """Refuse a request on an operator's word."""
+        self._rule(self.tally.bar(digest, monotonic_ms()))
+
+    def lift(self, digest: RequestDigest) -> None:
+        """Let a request be sent again on an operator's word."""
+        self._rule(self.tally.lift(digest, monotonic_ms()))
+
+    def _rule(self, ruling: Ruling) -> None:
+        self._note(ruling)
+        self._tell_replicas(_told([ruling]))
+
     def rulings(self) -> RequestRulings:
         """Return what an entry needs to know that follows from now on."""
         return _told(self.tally.rulings(monotonic_ms()))
--- a/src/cinderway/control/_poison_store.py
+++ b/src/cinderway/control/_poison_store.py
@@ -71,7 +71,7 @@
     for ruling in rulings:
         stored = machine.refused.get(ruling.digest)
         stored_round = stored.round_number if stored else 0
-        if ruling.standing is Standing.REFUSED and ruling.round_number > stored_round:
+        if not ruling.standing.is_sent and ruling.round_number > stored_round:
             yield _refusal_of(ruling, now_ms, wall_ms)
         elif ruling.standing is Standing.CLEARED and stored is not None:
             yield AllowRequest(ruling.digest)
@@ -84,7 +84,7 @@
     """Return the ruling that a stored refusal stands for, by the clock here."""
     return Ruling(
         refused.digest,
-        Standing.REFUSED,
+        Standing.BARRED if refused.is_barred else Standing.REFUSED,
         refused.round_number,
         now_ms + refused.until_ms - wall_ms,
         now_ms,
@@ -100,4 +100,5 @@
         wall_ms + ruling.until_ms - now_ms,
         list(ruling.servers),
         ruling.refusals,
+        ruling.standing is Standing.BARRED,
     )
--- a/src/cinderway/entry/_poison_watch.py
+++ b/src/cinderway/entry/_poison_watch.py
@@ -39,7 +39,7 @@
     def refusal_of(self, digest: RequestDigest) -> Ruling | None:
         """Return why a request is not sent; None if it may be."""
         ruling = self.tally.ruling_of(digest, monotonic_ms())
-        return ruling if ruling.standing is Standing.REFUSED else None
+        return None if ruling.standing.is_sent else ruling
 
     def may_be_repeated(self, digest: RequestDigest) -> bool:
         """Whether this entry may send a request that may have run once more.
@@ -48,7 +48,7 @@
         repeat each half second, 2 seeds).
         """
         standing = self.tally.standing_of(digest, monotonic_ms())
-        return standing not in (Standing.WATCHED, Standing.REFUSED)
+        return standing.is_sent and standing is not Standing.WATCHED
 
     def note_broken(self, digest: RequestDigest, server: ServerName) -> None:
         """Note that a server ended while it had a request."""
@@ -122,7 +122,7 @@
             ruling.standing.name.lower(),
             ",".join(ruling.servers) or "none",
         )
-        if ruling.standing is Standing.REFUSED and self.on_refusal is not None:
+        if not ruling.standing.is_sent and self.on_refusal is not None:
             self.on_refusal()
 
     def _tell_good(self, digest: RequestDigest, now_ms: int) -> None:
--- a/src/cinderway/entry/callers/_permits.py
+++ b/src/cinderway/entry/callers/_permits.py
@@ -31,8 +31,9 @@
     def __init__(self, ruling: Ruling, now_ms: int):
         super().__init__(
             ErrorCode.REQUEST_ENDS_SERVERS,
-            f"{len(ruling.servers)} servers ended while they had this request "
-            f"(digest {ruling.digest.hex()}): it is not sent to another",
+            f"the request with digest {ruling.digest.hex()} is "
+            f"{ruling.standing.name.lower()}: {len(ruling.servers)} servers ended "
+            "while they had it",
             step=Step.QUEUE,
         )
         self.retry_after_ms = ruling.until_ms - now_ms
--- a/src/cinderway/poison/__init__.py
+++ b/src/cinderway/poison/__init__.py
@@ -6,7 +6,7 @@
 not to blame, or its time is over.
 """
 
-from cinderway.poison._digest import RequestDigests
+from cinderway.poison._digest import DIGEST_BYTES, RequestDigests
 from cinderway.poison._ruling import NO_RULING, Ruling, Standing
 from cinderway.poison._tally import (
     CLEARED_FOR_MS,
@@ -20,6 +20,7 @@
 
 __all__ = [
     "CLEARED_FOR_MS",
+    "DIGEST_BYTES",
     "ENDS_TO_REFUSE",
     "ENDS_TO_WATCH",
     "KEPT_LIMIT",
--- a/src/cinderway/poison/_ruling.py
+++ b/src/cinderway/poison/_ruling.py
@@ -17,6 +17,13 @@
     REFUSED = 2
     # A server answered it well after others had ended: it was not to blame.
     CLEARED = 3
+    # An operator refuses it, whatever is answered.
+    BARRED = 4
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether such a request goes to servers."""
+        return self not in (Standing.REFUSED, Standing.BARRED)
 
 
 @dataclass(frozen=True)
--- a/src/cinderway/poison/_tally.py
+++ b/src/cinderway/poison/_tally.py
@@ -19,6 +19,8 @@
 # and comes with the first server that ends: such a chance costs one.
 REFUSED_FOR_MS = 600_000
 DOUBLINGS_LIMIT = 7
+# An operator who has forgotten one looks again by then.
+BARRED_FOR_MS = 24 * 3_600_000
 # News of the ends before is over by then.
 CLEARED_FOR_MS = 5_000
 # Requests that are held, with and without a ruling: more than a data hall's servers
@@ -56,7 +58,7 @@
         `server` stands for one start of a server: it counts once.
         """
         held = self._held(digest, now_ms)
-        if held.standing is Standing.REFUSED and now_ms < held.until_ms:
+        if not held.standing.is_sent and now_ms < held.until_ms:
             # It was under way there when it was refused.
             return None
         suspect = self._suspects.pop(digest, None) or _Suspect()
@@ -82,6 +84,18 @@
         cleared = suspect or _Suspect()
         return self._rule(digest, Standing.CLEARED, cleared, held, now_ms)
 
+    def bar(self, digest: RequestDigest, now_ms: int) -> Ruling:
+        """Refuse a request on an operator's word; return the ruling."""
+        suspect = self._suspects.get(digest) or _Suspect()
+        held = self._held(digest, now_ms)
+        return self._rule(digest, Standing.BARRED, suspect, held, now_ms)
+
+    def lift(self, digest: RequestDigest, now_ms: int) -> Ruling:
+        """Clear a request on an operator's word; return the ruling."""
+        suspect = self._suspects.pop(digest, None) or _Suspect()
+        held = self._held(digest, now_ms)
+        return self._rule(digest, Standing.CLEARED, suspect, held, now_ms)
+
     def learn(self, ruling: Ruling, now_ms: int) -> bool:
         """Take over another process's ruling if it is newer; say whether it was."""
         held = self._held(ruling.digest, now_ms)
@@ -160,6 +174,8 @@
     match standing:
         case Standing.REFUSED:
             return REFUSED_FOR_MS * 2 ** min(refusals - 1, DOUBLINGS_LIMIT)
+        case Standing.BARRED:
+            return BARRED_FOR_MS
         case Standing.CLEARED:
             return CLEARED_FOR_MS
     return REMEMBERED_MS
--- a/tests/poison/test_tally.py
+++ b/tests/poison/test_tally.py
@@ -91,6 +91,14 @@
         self.end("d", at_ms=at_ms)
         self.assertIs(self.standing(at_ms), Standing.UNKNOWN)
 
+    def test_what_an_operator_bars_is_sent_again_when_an_operator_lifts_it(self):
+        self.tally.bar(D, 0)
+        self.end("a")
+        self.assertIsNone(self.tally.note_good(D, 1))
+        self.assertFalse(self.standing(1).is_sent)
+        self.tally.lift(D, 2)
+        self.assertTrue(self.standing(2).is_sent)
+
     def test_others_words_count_by_their_round(self):
         other = PoisonTally()
         for server in ("a", "b", "c"):
--- a/tests/system/test_catalog.py
+++ b/tests/system/test_catalog.py
@@ -356,6 +356,35 @@
         self.assertEqual(self.bad_runs(), runs)
         self.ask_until(200, "/look/good", "good-2")
 
+    def test_an_operator_lifts_a_refusal_and_adds_one(self):
+        wait_for(lambda: self.is_refused(0), "a refusal")
+        row = self.listed("refused")
+        self.assertEqual(len(row["servers"]), 3)
+        for name in ("look1", "look2", "look3"):
+            self.servers[name].behave = lambda attempt: 200
+        self.refusals("DELETE", row["digest"])
+        wait_for(lambda: self.ask_bad(0).status == 200, "the request served again")
+        wait_for(lambda: self.ask_bad(1).status == 200, "the request served again")
+        self.refusals("PUT", row["digest"])
+        for entry in (0, 1):
+            wait_for(lambda entry=entry: self.is_refused(entry), "a refusal")
+        self.assertEqual(self.listed("barred")["digest"], row["digest"])
+
+    def listed(self, standing):
+        """Return the one request that a replica lists, once it stands so."""
+
+        def row():
+            rows = self.refusals("GET")
+            return rows[0] if [r["standing"] for r in rows] == [standing] else None
+
+        return wait_for(row, f"a request that is {standing}")
+
+    def refusals(self, method, digest=""):
+        path = f"/v1/refusals/{digest}".rstrip("/")
+        answer = call(self.fleet.controls[0], method, path)
+        self.assertEqual(answer.status, 200)
+        return json.loads(answer.body)
+
     def lose_power(self):
         """Kill all processes of the fleet at once, and start them again."""
         wait_for(self.is_stored, "the refusal stored by a majority")
