clock, replication, entry: the time of a suspension counts

Cause: the steady clock of a suspended instance stands still, so that what was granted to it or what it promised for a while seemed valid for as long as before; found by reading, with the users' page on suspended machines. And what lay in a socket over a pause was taken for new: a leader that woke took old answers for its quorum's, an entry an old heartbeat's age for that of now. Ruled out: two clocks side by side with a table of which use goes by which: a suspension would then be a fault of its own kind at some 160 places. With one clock that counts it, it is a standstill, which frozen processes have shown the system for long (node_freeze, SIGSTOP). Not shown on suspended machines: none can be had here.

--- a/src/cinderway/entry/fleet/_catalog_follower.py
+++ b/src/cinderway/entry/fleet/_catalog_follower.py
@@ -44,6 +44,7 @@
     LEADERLESS_AVOID_MS,
     ReplicaChoice,
 )
+from cinderway.entry.fleet._sent_times import SentTimes
 from cinderway.entry.fleet._standby import SILENT_LIMIT_S, Standby
 from cinderway.wire import Connection, Envelope, Identity, connect
 
@@ -80,6 +81,7 @@
     _connection: Connection | None = None
     # When the followed replica last said anything.
     _heard_at_ms: int = 0
+    _sent_times: SentTimes = field(default_factory=SentTimes)
     _questions: Questions = field(default_factory=Questions)
 
     def __post_init__(self):
@@ -99,7 +101,7 @@
             known_revision=lambda: self.state.mirror.revision,
             is_being_told=lambda: self._is_being_told,
             install=lambda update: self._install(update, monotonic_ms()),
-            note_age=lambda age_ms: self._note_age(age_ms, monotonic_ms()),
+            note_age=self._note_age,
             age_limit_ms=KNOWLEDGE_AGE_LIMIT_MS,
         )
         self._reports = CatalogReports(
@@ -224,6 +226,7 @@
         for service in self.state.board.services.values():
             service.budget.empty()
         self._heard_at_ms = monotonic_ms()
+        self._sent_times = SentTimes()
         self._connection = connection
         self._questions.connect(connection)
         self.allowances.start_anew()
@@ -305,7 +308,7 @@
                 step=Step.RECEIVE,
                 peer=address,
             )
-        self._note_age(age_ms, now_ms)
+        self._note_age(age_ms, self._sent_times.heard(now_ms))
 
     def _note_age(self, age_ms: int, now_ms: int) -> None:
         self.state.current_at_ms = max(self.state.current_at_ms, now_ms - age_ms)
--- a/src/cinderway/entry/fleet/_standby.py
+++ b/src/cinderway/entry/fleet/_standby.py
@@ -27,6 +27,7 @@
 )
 from cinderway.entry.fleet._control_sessions import ControlSession, ControlSessions
 from cinderway.entry.fleet._replica_choice import ReplicaChoice
+from cinderway.entry.fleet._sent_times import SentTimes
 from cinderway.wire import Connection, Envelope, Failure
 
 logger = logging.getLogger(__name__)
@@ -51,7 +52,7 @@
 
     `known_revision` returns the catalog's revision here, `is_being_told` whether the
     followed replica is in the midst of a message. `install` takes an update, `note_age`
-    how old what is held may be, if it is as new as the replica's.
+    how old what is held may be, if it is as new as the replica's, and when that was.
     """
 
     entry: EntryName
@@ -60,12 +61,13 @@
     known_revision: Callable[[], int]
     is_being_told: Callable[[], bool]
     install: Callable[[CatalogUpdate], None]
-    note_age: Callable[[int], None]
+    note_age: Callable[[int, int], None]
     age_limit_ms: int
     fetches: int = 0
     _session: ControlSession | None = None
     # When what the replica here knows was new, by its last word.
     _known_at_ms: int | None = None
+    _sent_times: SentTimes = field(default_factory=SentTimes)
     _revision: int = 0
     _behind_since_ms: int | None = None
     _is_fetching: bool = False
@@ -115,6 +117,7 @@
     async def _watch(self, session: ControlSession) -> None:
         self._session = session
         self._known_at_ms = self._behind_since_ms = None
+        self._sent_times = SentTimes()
         self._is_fetching = False
         self._released = anyio.Event()
         self._watching = anyio.CancelScope()
@@ -180,14 +183,15 @@
                 self._is_fetching = False
                 logger.info("the replica that stands by has nothing newer: %s", detail)
             case CatalogHeartbeat(knowledge_age_ms=age_ms, revision=revision):
-                self._known_at_ms = monotonic_ms() - age_ms
+                sent_at_ms = self._sent_times.heard(monotonic_ms())
+                self._known_at_ms = sent_at_ms - age_ms
                 self._revision = revision
-                self._compare(age_ms)
+                self._compare(age_ms, sent_at_ms)
 
-    def _compare(self, age_ms: int) -> None:
+    def _compare(self, age_ms: int, sent_at_ms: int) -> None:
         if self._revision <= self.known_revision():
             self._behind_since_ms = None
-            self.note_age(age_ms)
+            self.note_age(age_ms, sent_at_ms)
         elif self._behind_since_ms is None:
             self._behind_since_ms = monotonic_ms()
 
--- a/src/cinderway/replication/_core.py
+++ b/src/cinderway/replication/_core.py
@@ -78,7 +78,7 @@
 
     def tick(self, now_ms: int) -> None:
         """Let time pass."""
-        self.now_ms = max(now_ms, self.now_ms)
+        self._advance(now_ms)
         if self.is_leader:
             self._tick_leader()
         else:
@@ -91,7 +91,7 @@
         the same address under a new identity; what others still send to the old
         one must not be answered by the new one.
         """
-        self.now_ms = max(now_ms, self.now_ms)
+        self._advance(now_ms)
         if isinstance(message, JoinRequest):
             self._changes.on_join(message, self._wanted_voters)
             return
@@ -111,6 +111,24 @@
             case TakeOver():
                 self._elections.on_take_over(message)
 
+    def leads_at(self, now_ms: int) -> bool:
+        """Whether it leads and has not stood still for as long as others wait."""
+        return self.is_leader and not self._stood_still(now_ms)
+
+    def _stood_still(self, now_ms: int) -> bool:
+        return now_ms - self.now_ms > self.timing.quorum_silent_ms
+
+    def _advance(self, now_ms: int) -> None:
+        """Take the time; a leader that stood still leads no longer.
+
+        What lies in its connections is from before: taken for news, it would make the
+        leader think that its quorum still follows.
+        """
+        has_others = len(self.membership.voters) > 1
+        if self.is_leader and has_others and self._stood_still(now_ms):
+            self._become_follower(self.term)
+        self.now_ms = max(now_ms, self.now_ms)
+
     def propose(self, data: bytes) -> int:
         """Append a command and return its index; only the leader takes one."""
         self.require_leader()
--- a/src/cinderway/replication/_node.py
+++ b/src/cinderway/replication/_node.py
@@ -152,7 +152,7 @@
         By the leader's last message alone such a one passed for current.
         """
         # A new leader may hold what was acknowledged before, and not know it committed.
-        if self.core.is_leader and self.core.has_committed_in_term:
+        if self.core.leads_at(now_ms) and self.core.has_committed_in_term:
             return 0
         if self.known_at_ms is None:
             return None
--- a/tests/entry/fleet/test_catalog_follower.py
+++ b/tests/entry/fleet/test_catalog_follower.py
@@ -86,6 +86,11 @@
         self.follower._hear(HERE, 300, 10_000)
         self.assertEqual(self.state.age_ms(10_000), 300)
 
+    def test_what_was_heard_after_a_long_pause_may_be_as_old_as_the_pause(self):
+        self.follower._hear(HERE, 300, 10_000)
+        self.follower._hear(HERE, 300, 18_000)
+        self.assertGreater(self.state.age_ms(18_000), 7_000)
+
     def test_one_without_a_leader_is_left_for_another(self):
         with self.assertRaises(CinderwayError) as raised:
             self.follower._hear(HERE, STALE_MS, 10_000)
--- a/tests/replication/test_core.py
+++ b/tests/replication/test_core.py
@@ -17,6 +17,7 @@
 from cinderway.replication._core import Replica, Timing
 from cinderway.replication._log import Log
 from cinderway.replication._messages import (
+    AppendReply,
     AppendRequest,
     EntryKind,
     HardState,
@@ -520,6 +521,38 @@
         self.assertFalse(leader.core.is_leader)
 
 
+class StandstillTest(ClusterCase):
+    """A leader that stood still, or was suspended, wakes to words of long before.
+
+    They lay in its socket, and are read before any timer fires. Taken for news they
+    make it lead on, and tell entries that what it knows is new, while others have
+    elected another leader and acknowledged changes that it knows nothing of.
+    """
+
+    def reply_to(self, leader):
+        """Return an answer to the leader that is still on its way."""
+        while True:
+            self.cluster.pass_time(20)
+            for _, address, message in self.cluster.messages:
+                if address == leader.address and isinstance(message, AppendReply):
+                    return message
+            self.cluster.deliver(20)
+
+    def test_it_steps_down_before_it_takes_what_came_meanwhile(self):
+        leader = self.leader()
+        reply = self.reply_to(leader)
+        woken_at_ms = self.cluster.now_ms + TIMING.quorum_silent_ms + 200
+        self.assertFalse(leader.core.leads_at(woken_at_ms))
+        leader.core.step(reply, woken_at_ms)
+        self.assertFalse(leader.core.is_leader)
+
+    def test_a_pause_that_nobody_can_have_taken_for_its_end_changes_nothing(self):
+        leader = self.leader()
+        reply = self.reply_to(leader)
+        leader.core.step(reply, self.cluster.now_ms + TIMING.quorum_silent_ms // 2)
+        self.assertTrue(leader.core.is_leader)
+
+
 class CommitTest(ClusterCase):
     """Followers know of a commit as soon as the leader, less a message's way.
 
