--- a/src/cinderway/entry/fleet/_sent_times.py
+++ b/src/cinderway/entry/fleet/_sent_times.py
@@ -12,8 +12,8 @@
     """When the heartbeats of one connection were sent, at the earliest.
 
     An entry that stood still, or was suspended, wakes to heartbeats of long before that
-    lay in its socket. Taken for new, they would make it answer 404 by a sheet that is as
-    old as its pause, where 503 tells callers to come back. A link that was stalled
+    lay in its socket. Taken for new, they would make it answer 404 by a sheet that is
+    as old as its pause, where 503 tells callers to come back. A link that was stalled
     brings them late in the same way.
     """
 
