--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -95,23 +95,19 @@
             try:
                 while True:
                     envelope = await connection.receive()
+                    if not envelope.call_id and self._hear(
+                        connection, envelope.message
+                    ):
+                        continue
                     match envelope.message:
                         case StandBy():
                             tasks.start_soon(self._stand_by, connection, standing_by)
                         case FollowCatalog() as request:
                             standing_by.cancel()
                             tasks.start_soon(self._feed, connection, request)
-                        case EvidenceBatch() as batch:
-                            self.hall.take_evidence(batch)
-                        case ServerLoads(servers=loads) if not envelope.call_id:
-                            self.hall.news.take_loads(connection, loads)
                         case ServerLoads(servers=loads):
                             self.hall.news.hear_loads(connection, loads)
                             await connection.send(Done(), envelope.call_id)
-                        case RequestRuns() as runs if not envelope.call_id:
-                            self.hall.poison.take_runs(runs)
-                        case RequestRulings() as rulings if not envelope.call_id:
-                            self.hall.poison.learn(rulings)
                         case AskAllowances() as asked:
                             # In the order in which a holder spoke.
                             granted = self.allowances.grant(
@@ -134,6 +130,21 @@
             finally:
                 self.hall.news.forget(connection)
 
+    def _hear(self, connection: Connection, told: Message) -> bool:
+        """Take what an entry tells without waiting for an answer; False if it asks."""
+        match told:
+            case EvidenceBatch():
+                self.hall.take_evidence(told)
+            case ServerLoads(servers=loads):
+                self.hall.news.take_loads(connection, loads)
+            case RequestRuns():
+                self.hall.poison.take_runs(told)
+            case RequestRulings():
+                self.hall.poison.learn(told)
+            case _:
+                return False
+        return True
+
     async def _answer(
         self, connection: Connection, call_id: int, message: Message
     ) -> None:
--- a/src/cinderway/control/_poison_news.py
+++ b/src/cinderway/control/_poison_news.py
@@ -113,12 +113,7 @@
             return
         self._rulings[ruling.digest] = ruling
         self._has_news.set()
-        logger.info(
-            "request with digest %s is %s; servers that ended under it: %s",
-            ruling.digest.hex(),
-            ruling.standing.name.lower(),
-            ",".join(ruling.servers) or "none",
-        )
+        logger.info("%s", ruling)
 
     def _tell_what_is_new(self) -> None:
         rulings, self._rulings = self._rulings, {}
--- a/src/cinderway/entry/_poison_watch.py
+++ b/src/cinderway/entry/_poison_watch.py
@@ -116,12 +116,7 @@
             if answered_at_ms >= ruling.since_ms:
                 self._tell_good(ruling.digest, monotonic_ms())
                 return
-        logger.info(
-            "request with digest %s is %s; servers that ended under it: %s",
-            ruling.digest.hex(),
-            ruling.standing.name.lower(),
-            ",".join(ruling.servers) or "none",
-        )
+        logger.info("%s", ruling)
         if not ruling.standing.is_sent and self.on_refusal is not None:
             self.on_refusal()
 
--- a/src/cinderway/entry/callers/_route_handler.py
+++ b/src/cinderway/entry/callers/_route_handler.py
@@ -13,7 +13,6 @@
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import (
-    AccountName,
     AttemptId,
     CallerName,
     RequestDigest,
@@ -36,14 +35,13 @@
     find_header,
     read_body,
 )
+from cinderway.entry.callers._served import Served
 from cinderway.entry.fleet._allowances import AllowanceError, Allowances
 from cinderway.entry.servers._messages import (
     HeaderNames,
 )
 from cinderway.ledger import Resolution
 from cinderway.poison import RequestDigests
-from cinderway.reports import RequestLine
-from cinderway.reports._request_line import NONE
 
 logger = logging.getLogger(__name__)
 
@@ -81,7 +79,7 @@
             return
         board = self.state.board
         reply = Reply(send, board)
-        served = _Served(
+        served = Served(
             monotonic_ms(), find_header(scope["headers"], self.names.attempt)
         )
         board.in_flight += 1
@@ -129,7 +127,7 @@
         await reply.own(problem_answer(error, outcome, after_s))
 
     async def _serve(
-        self, scope: dict, receive: Receive, reply: Reply, served: "_Served"
+        self, scope: dict, receive: Receive, reply: Reply, served: Served
     ) -> None:
         await self._wait_for_sheet(scope, served.started_at_ms)
         served.route = route = self._route_of(scope)
@@ -159,7 +157,7 @@
         self,
         scope: dict,
         route: RouteRow,
-        served: "_Served",
+        served: Served,
         deadline_ms: int,
         body: bytes,
     ) -> CallerRequest:
@@ -272,25 +270,16 @@
         if reply.first_byte_ms is None:
             raise CallerLeftError
 
-    def _note_end(self, served: "_Served", reply: Reply) -> None:
+    def _note_end(self, served: Served, reply: Reply) -> None:
         """Count the request, and write its log line."""
         now_ms = monotonic_ms()
         duration_ms = now_ms - served.started_at_ms
-        route = served.route.name if served.route else NONE
+        route = served.route_name
         labels = {"route": route, "outcome": reply.outcome}
         self.metrics.count("requests_total", labels)
         self.metrics.observe("request_seconds", duration_ms / 1000, {"route": route})
-        line = RequestLine(
-            name=served.attempt_id or "unnamed",
-            outcome=reply.outcome,
-            duration_ms=duration_ms,
-            route=route,
-            service=served.service or NONE,
-            servers=tuple(served.request.tried) if served.request else (),
-            revision=self.state.mirror.revision,
-            age_ms=self.state.age_ms(now_ms),
-            account=served.account_name or NONE,
-        )
+        revision, age_ms = self.state.mirror.revision, self.state.age_ms(now_ms)
+        line = served.line(reply.outcome, duration_ms, revision, age_ms)
         logger.info("%s%s", line, f"; {served.error}" if served.error else "")
 
 
@@ -299,29 +288,6 @@
     return started_at_ms + route.objective_ms if route.objective_ms else None
 
 
-class _Served:
-    """What became of one request, for its log line."""
-
-    def __init__(self, started_at_ms: int, attempt_header: bytes | None):
-        self.started_at_ms = started_at_ms
-        self.attempt_id = (attempt_header or b"").decode("latin-1")
-        self.route: RouteRow | None = None
-        self.permit: RequestPermit | None = None
-        self.service: ServiceName | None = None
-        self.request: CallerRequest | None = None
-        self.error: CinderwayError | None = None
-
-    @property
-    def account_name(self) -> AccountName | None:
-        """The account that the request belongs to, if any."""
-        return self.permit.identity.account_name if self.permit is not None else None
-
-    @property
-    def was_sent(self) -> bool:
-        """Whether a server may have got the request."""
-        return self.request is not None and bool(self.request.tried)
-
-
 async def _watch_caller(
     receive: Receive, scope: anyio.CancelScope, route: RouteRow, request: CallerRequest
 ) -> None:
--- /dev/null
+++ b/src/cinderway/entry/callers/_served.py
@@ -0,0 +1,53 @@
+"""What became of one request that came by the route sheet, for its log line."""
+
+from cinderway._errors import CinderwayError
+from cinderway._ids import AccountName, ServiceName
+from cinderway.catalog import RouteRow
+from cinderway.entry.callers._permits import RequestPermit
+from cinderway.entry.callers._requests import CallerRequest
+from cinderway.reports import RequestLine
+from cinderway.reports._request_line import NONE
+
+
+class Served:
+    """What is known of one request so far; parts come as it is served."""
+
+    def __init__(self, started_at_ms: int, attempt_header: bytes | None):
+        self.started_at_ms = started_at_ms
+        self.attempt_id = (attempt_header or b"").decode("latin-1")
+        self.route: RouteRow | None = None
+        self.permit: RequestPermit | None = None
+        self.service: ServiceName | None = None
+        self.request: CallerRequest | None = None
+        self.error: CinderwayError | None = None
+
+    @property
+    def account_name(self) -> AccountName | None:
+        """The account that the request belongs to, if any."""
+        return self.permit.identity.account_name if self.permit is not None else None
+
+    @property
+    def was_sent(self) -> bool:
+        """Whether a server may have got the request."""
+        return self.request is not None and bool(self.request.tried)
+
+    @property
+    def route_name(self) -> str:
+        """The route's name; NONE where no route fits."""
+        return self.route.name if self.route else NONE
+
+    def line(
+        self, outcome: str, duration_ms: int, revision: int, age_ms: int
+    ) -> RequestLine:
+        """Return the request's log line, with the catalog that it was decided by."""
+        return RequestLine(
+            name=self.attempt_id or "unnamed",
+            outcome=outcome,
+            duration_ms=duration_ms,
+            route=self.route_name,
+            service=self.service or NONE,
+            servers=tuple(self.request.tried) if self.request else (),
+            revision=revision,
+            age_ms=age_ms,
+            account=self.account_name or NONE,
+        )
--- a/src/cinderway/experiment/_connections.py
+++ b/src/cinderway/experiment/_connections.py
@@ -13,7 +13,7 @@
 from cinderway.entry.servers._backends import ConnectionLostError
 from cinderway.entry.servers._messages import BackendAnswer, BackendRequest
 from cinderway.experiment._declaration import Experiment, PoisonRequest
-from cinderway.experiment._servers import ModelServer, ServerAnswer, ServerEndedError
+from cinderway.experiment._servers import ModelServer, RunBrokenError, ServerAnswer
 from cinderway.limits import ConnectLimit
 
 
@@ -159,7 +159,7 @@
                 await anyio.sleep_forever()
             try:
                 answer = await work(deadline_ms)
-            except ServerEndedError:
+            except RunBrokenError:
                 answer = None
             if server.is_dark:
                 await anyio.sleep_forever()
--- a/src/cinderway/experiment/_declaration.py
+++ b/src/cinderway/experiment/_declaration.py
@@ -19,6 +19,7 @@
 
     ERROR = "error"
     HANG = "hang"
+    RESET = "reset"
 
 
 class Bursts(_Table):
--- a/src/cinderway/experiment/_servers.py
+++ b/src/cinderway/experiment/_servers.py
@@ -3,6 +3,7 @@
 import math
 import random
 from collections import deque
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import anyio
@@ -39,8 +40,8 @@
         return self.status == OK
 
 
-class ServerEndedError(Exception):
-    """The server's process ended, with all that it had under way."""
+class RunBrokenError(Exception):
+    """The server's side of the connection ended before there was an answer."""
 
 
 @dataclass
@@ -87,24 +88,26 @@
     ) -> ServerAnswer:
         """Run one request, which may end the server; a caller that leaves cancels it.
 
-        Raises ServerEndedError if the server ends meanwhile.
+        Raises RunBrokenError if the server ends meanwhile.
         """
         if self.is_down:
-            raise ServerEndedError
+            raise RunBrokenError
         process = self._ended
         answer: ServerAnswer | None = None
         async with anyio.create_task_group() as tasks:
 
             async def give_answer() -> None:
                 nonlocal answer
-                answer = await self._answer_or_end(deadline_ms, poison)
+                # Raised in the task it would end the group with a group of errors.
+                with suppress(RunBrokenError):
+                    answer = await self._answer_or_end(deadline_ms, poison)
                 tasks.cancel_scope.cancel()
 
             tasks.start_soon(give_answer)
             await process.wait()
             tasks.cancel_scope.cancel()
         if answer is None:
-            raise ServerEndedError
+            raise RunBrokenError
         return answer
 
     async def _answer_or_end(
@@ -130,12 +133,18 @@
         self._ended = anyio.Event()
 
     async def answer(self, deadline_ms: int) -> ServerAnswer:
-        """Run one request that harms nothing."""
+        """Run one request that harms nothing.
+
+        Raises RunBrokenError if the server resets the connection in a burst.
+        """
         self.arrivals += 1
         failure = self._failure_now()
         if failure is BurstFailure.ERROR:
             await anyio.sleep(FAILS_AFTER_MS / 1000)
             return self._answer(FAILED)
+        if failure is BurstFailure.RESET:
+            await anyio.sleep(FAILS_AFTER_MS / 1000)
+            raise RunBrokenError
         if not await self._take_slot(deadline_ms):
             return self._answer(REFUSED, (OUTCOME_HEADER, NOT_RUN))
         try:
--- a/src/cinderway/poison/_ruling.py
+++ b/src/cinderway/poison/_ruling.py
@@ -44,6 +44,14 @@
     # How often it was refused, this time included; its chances in between count.
     refusals: int = 0
 
+    def __str__(self) -> str:
+        """Return the text of its log line."""
+        servers = ",".join(self.servers) or "none"
+        return (
+            f"request with digest {self.digest.hex()} is "
+            f"{self.standing.name.lower()}; servers that ended under it: {servers}"
+        )
+
     @property
     def rank(self) -> tuple[int, Standing]:
         """The ruling with the highest is in force."""
