tools: tests run side by side, each part in a process of its own

Ruled out: the runner's own multi-process plugin, which deals out single tests and says nothing of one that no process has run. Ports come from a part of the range that a lock keeps to one process. Traced: two changes that come while an entry is stopped reach it as one update (run of real processes: one line in place of two), so the line that the test counts may never come twice. It now first waits until the entry knows all servers, and then for the word; no check is looser.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,5 +1,6 @@
 """Launch a whole cinderway fleet on loopback, for the demo, the tests and the bench."""
 
+import fcntl
 import http.client
 import json
 import os
@@ -12,7 +13,9 @@
 import time
 import urllib.request
 from dataclasses import dataclass, field
+from functools import cache
 from pathlib import Path
+from typing import BinaryIO
 
 SHARED_KEY = "a-key-for-tests-only"
 CINDERWAY = [
@@ -25,6 +28,29 @@
 PORT_RANGE = (10_000, 32_000)
 
 
+# Ports that one process of tests draws from: some twenty fleets' at a time.
+PORTS_A_PROCESS = 500
+
+
+@cache
+def _own_ports() -> tuple[range, BinaryIO]:
+    """Return a part of the range that no other process on this machine draws from.
+
+    It is held by a lock on a file, which ends with the process.
+    """
+    parts = range(*PORT_RANGE, PORTS_A_PROCESS)
+    for start in random.SystemRandom().sample(parts, len(parts)):
+        name = Path(tempfile.gettempdir()) / f"cinderway-ports-{start}"
+        held = name.open("ab")
+        try:
+            fcntl.flock(held, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            held.close()
+            continue
+        return range(start, start + PORTS_A_PROCESS), held
+    raise RuntimeError("all parts of the range of ports are in use by other tests")
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports that were free a moment ago.
 
@@ -33,8 +59,9 @@
     """
     ports: set[int] = set()
     rng = random.SystemRandom()
+    own_ports, _ = _own_ports()
     while len(ports) < count:
-        port = rng.randrange(*PORT_RANGE)
+        port = rng.choice(own_ports)
         with socket.socket() as held:
             if held.connect_ex(("127.0.0.1", port)) != 0:
                 ports.add(port)
--- a/tests/system/test_catalog.py
+++ b/tests/system/test_catalog.py
@@ -253,8 +253,11 @@
 
     def test_a_leaving_server_gets_nothing_after_the_word_has_gone_round(self):
         leaving = self.servers["sub1"]
-        self.fleet.register(leaving, "leaving")
         revision = f"{len(self.servers)} backend servers"
+        # Changes that come close together reach an entry as one: the word on the last
+        # server that registered and the word that one leaves were one line.
+        wait_for(lambda: revision in self.fleet.log_of("entry-0"), "all servers known")
+        self.fleet.register(leaving, "leaving")
         wait_for(lambda: self.fleet.log_of("entry-0").count(revision) >= 2, "the word")
         leaving.runs.clear()
         for number in range(10):
