--- a/src/cinderway/experiment/_result.py
+++ b/src/cinderway/experiment/_result.py
@@ -17,6 +17,7 @@
 USUAL_PERCENTILE = 50
 SLOW_PERCENTILE = 95
 MS_PER_S = 1000
+ENDED = "servers ended"
 
 
 def _histogram() -> HdrHistogram:
@@ -88,6 +89,15 @@
         f"{len(plays)} plays; a play: {opened / len(plays):.0f} connections opened, "
         f"{far_bytes / len(plays) / 1e6:.2f} MB of answers between halls"
     )
+    if any(played.experiment.poison for played in plays):
+        ended = sum(len(played.server_ends_ms) for played in plays)
+        sent = sum(len(played.poison_arrivals_ms) for played in plays)
+        repeats = sum(len(played.poison_results) for played in plays)
+        lines.append(
+            f"poison requests, a play: {repeats / len(plays):.1f} repeats, "
+            f"{sent / len(plays):.1f} sent to servers, {ended / len(plays):.1f} of "
+            "which ended"
+        )
     return "\n".join(lines)
 
 
@@ -101,13 +111,22 @@
     return dict(sorted(found.items()))
 
 
+def server_ends_by_second(plays: Iterable[Played]) -> Counter[int]:
+    """Return how many servers poison requests ended in each second."""
+    return Counter(
+        at_ms // MS_PER_S for played in plays for at_ms in played.server_ends_ms
+    )
+
+
 def write_csv(plays: list[Played], path: Path) -> None:
     """Write a row for each second."""
     with path.open("w", newline="") as file:
         rows = csv.writer(file)
-        rows.writerow(["second", *(outcome.value for outcome in Outcome)])
+        rows.writerow(["second", *(outcome.value for outcome in Outcome), ENDED])
+        ended = server_ends_by_second(plays)
         for second, counts in by_second(plays).items():
-            rows.writerow([second, *(counts[outcome] for outcome in Outcome)])
+            row = [second, *(counts[outcome] for outcome in Outcome), ended[second]]
+            rows.writerow(row)
 
 
 def draw(plays: list[Played], path: Path) -> None:
@@ -124,4 +143,7 @@
     for outcome in Outcome:
         counts = [counts[outcome] / len(plays) for counts in seconds.values()]
         chart.add(outcome.value, counts)
+    ended = server_ends_by_second(plays)
+    if ended:
+        chart.add(ENDED, [ended[second] / len(plays) for second in seconds])
     path.write_bytes(chart.render())
--- a/tests/experiment/test_play.py
+++ b/tests/experiment/test_play.py
@@ -5,7 +5,7 @@
 
 from cinderway.catalog import RouteKind
 from cinderway.experiment import Outcome, by_route, draw, play, table_of, write_csv
-from cinderway.experiment._declaration import Fault, FaultKind
+from cinderway.experiment._declaration import Fault, FaultKind, PoisonRequest
 
 from ._declared import USERS_BURSTS, experiment, route, service
 
@@ -57,3 +57,16 @@
             draw(played, Path(folder) / "seconds.svg")
             self.assertIn("<svg", (Path(folder) / "seconds.svg").read_text())
         self.assertEqual([row["second"] for row in rows], ["0", "1"])
+
+    def test_servers_that_requests_ended_are_counted_by_second(self):
+        poison = PoisonRequest(
+            route="reading-submit", at_ms=300, until_ms=400, every_ms=100
+        )
+        declared = experiment(length_ms=2_000, poison=[poison])
+        played = [play(declared, 1)]
+        self.assertEqual(len(played[0].server_ends_ms), 1)
+        self.assertIn("1.0 sent to servers, 1.0 of which ended", table_of(played))
+        with tempfile.TemporaryDirectory() as folder:
+            write_csv(played, Path(folder) / "seconds.csv")
+            rows = list(csv.DictReader((Path(folder) / "seconds.csv").open()))
+        self.assertEqual([row["servers ended"] for row in rows], ["1", "0"])
