entry: the same memory of requests that end servers in table mode

Change: entries tell their assessors, each of which counts and rules as a control replica does and tells all that report to it; what is told has one home, the poison package. The permit's poison part stands by itself and serves both modes. A streamed answer that is cut midway does not count: it goes on elsewhere. Not shown: real servers that end, in table mode.

--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -23,8 +23,6 @@
     FollowCatalog,
     GrantAllowances,
     ReplicasAnswer,
-    RequestRulings,
-    RequestRuns,
     RetryAnswer,
     ServerLoads,
     StandBy,
@@ -37,6 +35,7 @@
 from cinderway.control._follower import HEARTBEAT_S, SEND_TIMEOUT_S, Follower
 from cinderway.control._hall_service import HallService
 from cinderway.control._poison_store import PoisonStore
+from cinderway.poison import RequestRulings, RequestRuns
 from cinderway.replication import Node
 from cinderway.wire import (
     Connection,
--- a/src/cinderway/control/_poison_news.py
+++ b/src/cinderway/control/_poison_news.py
@@ -13,17 +13,17 @@
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError
 from cinderway._ids import Address, RequestDigest
-from cinderway.catalog import (
-    CATALOG,
-    CatalogMachine,
+from cinderway.catalog import CATALOG, CatalogMachine
+from cinderway.control._commands import ReplicaCalls
+from cinderway.control._follower import Follower
+from cinderway.poison import (
     EndedRun,
+    PoisonTally,
     RequestRuling,
     RequestRulings,
     RequestRuns,
+    Ruling,
 )
-from cinderway.control._commands import ReplicaCalls
-from cinderway.control._follower import Follower
-from cinderway.poison import PoisonTally, Ruling
 from cinderway.wire import Message
 
 logger = logging.getLogger(__name__)
@@ -73,17 +73,14 @@
 
     def hear_runs(self, runs: RequestRuns) -> None:
         """Take what another replica's entries saw."""
-        now_ms = monotonic_ms()
-        for run in runs.ended:
-            self._note(self.tally.note_end(run.digest, run.server, now_ms))
-        for digest in runs.good:
-            self._note(self.tally.note_good(digest, now_ms))
+        for ruling in self.tally.note_runs(runs, monotonic_ms()):
+            self._note(ruling)
         self._has_news.set()
 
     def learn(self, told: RequestRulings) -> None:
         """Take over what an entry or another replica holds, where it is newer."""
-        now_ms = monotonic_ms()
-        self.take_over(line.ruling(now_ms) for line in told.lines)
+        for ruling in self.tally.learn_all(told, monotonic_ms()):
+            self._note(ruling)
 
     def take_over(self, rulings: Iterable[Ruling]) -> None:
         """Put rulings in force that are newer than what is held."""
@@ -108,9 +105,7 @@
         """Return what an entry needs to know that follows from now on."""
         return _told(self.tally.rulings(monotonic_ms()))
 
-    def _note(self, ruling: Ruling | None) -> None:
-        if ruling is None:
-            return
+    def _note(self, ruling: Ruling) -> None:
         self._rulings[ruling.digest] = ruling
         self._has_news.set()
         logger.info("%s", ruling)
--- a/src/cinderway/entry/_blackboard.py
+++ b/src/cinderway/entry/_blackboard.py
@@ -133,6 +133,11 @@
     on_good_answer: Callable[[ServerName], None] | None = None
     table_changed: anyio.Event = field(default_factory=anyio.Event)
 
+    def wake_waiting(self) -> None:
+        """Let all requests that wait for a slot look again."""
+        for service in self.services.values():
+            service.free_slot()
+
     def refresh_from_table(self, now_ms: int) -> None:
         """Bring the derived state in line with the table in force."""
         rows = {row.name: row for row in self.table.services()}
--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -17,8 +17,6 @@
     CatalogMirror,
     CatalogUpdate,
     RegisteredServer,
-    RequestRulings,
-    RequestRuns,
     RouteIndex,
     RouteSheet,
     ServerLoad,
@@ -31,6 +29,7 @@
 from cinderway.entry._poison_watch import PoisonWatch
 from cinderway.judgement import Bad, EvidenceLog, Pace, Suspicions
 from cinderway.limits import RetryBudget
+from cinderway.poison import RequestRulings, RequestRuns
 from cinderway.table import ServerRow, ServerState as ListedState, ServiceRow
 from cinderway.wire import Message
 
@@ -73,7 +72,7 @@
         self.evidence.on_late_answer = self.note_late_answer
         self.board.on_load = self._note_load
         self.board.on_good_answer = self._suspicions.note_good
-        self.poison.on_refusal = self._wake_waiting
+        self.poison.on_refusal = self.board.wake_waiting
 
     @property
     def is_ready(self) -> bool:
@@ -140,11 +139,6 @@
         states = filter(None, map(self._state_of, changed))
         return ServerLoads([_load_of(state, now_ms) for state in states])
 
-    def _wake_waiting(self) -> None:
-        """Let requests that wait for a slot look whether they still may be sent."""
-        for service in self.board.services.values():
-            service.free_slot()
-
     def follow_anew(self) -> None:
         """Forget what others have in flight; tell the next replica of all here."""
         for service in self.board.services.values():
@@ -173,8 +167,8 @@
                 self.hear_loads(news, now_ms)
             case RequestRuns():
                 self.poison.hear_runs(news)
-            case RequestRulings(lines=lines):
-                self.poison.hear_rulings(lines)
+            case RequestRulings():
+                self.poison.hear_rulings(news)
 
     def hear_loads(self, message: ServerLoads, now_ms: int) -> None:
         """Take over what other entries of the hall know."""
@@ -229,7 +223,7 @@
                 server.is_ejected = bool(line and line.is_ejected)
                 server.share = line.share if line and line.share else FULL_SHARE
         self._judged = set(lines)
-        self._wake_waiting()
+        self.board.wake_waiting()
 
     def _refresh(self, now_ms: int) -> None:
         """Rebuild services and servers from the catalog's copy."""
--- a/src/cinderway/entry/_daemon.py
+++ b/src/cinderway/entry/_daemon.py
@@ -11,6 +11,7 @@
 from cinderway._operators import Metrics, serve_operators
 from cinderway._settings import EntrySettings
 from cinderway.entry._blackboard import Blackboard
+from cinderway.entry._poison_watch import PoisonWatch
 from cinderway.entry.callers._attempts import Attempts
 from cinderway.entry.callers._handler import Handler
 from cinderway.entry.callers._run_once import RunOnce
@@ -45,13 +46,27 @@
         reports = ReportServer(board)
         attempts = Attempts(dispatcher, metrics, settings.answer_limit_kib * 1024)
         run_once = RunOnce(settings.name, attempts, ledger, metrics, runs)
+        watch = PoisonWatch(on_refusal=board.wake_waiting)
         handler = Handler(
-            settings, board, attempts, Streams(attempts), run_once, metrics, reports
+            settings,
+            board,
+            attempts,
+            Streams(attempts),
+            run_once,
+            metrics,
+            reports,
+            watch,
         )
         follower = TableFollower(settings, board, identity, tasks)
         assessor = AssessorServer(board)
         reporter = Reporter(
-            board, dispatcher.evidence, identity, settings.listen, tasks, reports
+            board,
+            dispatcher.evidence,
+            identity,
+            settings.listen,
+            tasks,
+            reports,
+            watch,
         )
         prober = Prober(board, dispatcher, tasks)
         routes = (follower.route, assessor.route, reports.route)
--- a/src/cinderway/entry/_poison_watch.py
+++ b/src/cinderway/entry/_poison_watch.py
@@ -5,15 +5,22 @@
 """
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
 
 from cinderway._clock import monotonic_ms
 from cinderway._ids import RequestDigest, ServerName
-from cinderway.catalog import EndedRun, RequestRuling, RequestRulings, RequestRuns
-from cinderway.poison import PoisonTally, Ruling, Standing
+from cinderway.poison import (
+    EndedRun,
+    PoisonTally,
+    RequestRuling,
+    RequestRulings,
+    RequestRuns,
+    Ruling,
+    Standing,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -89,19 +96,13 @@
 
     def hear_runs(self, runs: RequestRuns) -> None:
         """Take over what another entry saw."""
-        now_ms = monotonic_ms()
-        for run in runs.ended:
-            self._note_ruling(self.tally.note_end(run.digest, run.server, now_ms))
-        for digest in runs.good:
-            self.tally.note_good(digest, now_ms)
+        for ruling in self.tally.note_runs(runs, monotonic_ms()):
+            self._note_ruling(ruling)
 
-    def hear_rulings(self, lines: Iterable[RequestRuling]) -> None:
+    def hear_rulings(self, told: RequestRulings) -> None:
         """Take over what a replica or another entry holds of requests."""
-        now_ms = monotonic_ms()
-        for line in lines:
-            ruling = line.ruling(now_ms)
-            if self.tally.learn(ruling, now_ms):
-                self._note_ruling(ruling)
+        for ruling in self.tally.learn_all(told, monotonic_ms()):
+            self._note_ruling(ruling)
 
     def _note_ruling(self, ruling: Ruling | None) -> None:
         """Object to a ruling that a good answer here contradicts."""
--- a/src/cinderway/entry/callers/_accounts.py
+++ b/src/cinderway/entry/callers/_accounts.py
@@ -8,9 +8,9 @@
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import AccountName, ApiKey
 from cinderway.catalog import AccountIndex, AccountRow, RouteRow
+from cinderway.entry.callers._requests import AUTHORIZATION
 from cinderway.entry.servers._messages import Headers
 
-AUTHORIZATION = b"authorization"
 # Headers that exist to carry credentials; none of them reaches a server.
 CREDENTIAL_HEADERS = frozenset({AUTHORIZATION, b"proxy-authorization"})
 SCHEME = b"bearer"
--- a/src/cinderway/entry/callers/_handler.py
+++ b/src/cinderway/entry/callers/_handler.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 
@@ -12,6 +12,7 @@
 from cinderway._operators import Metrics
 from cinderway._settings import EntrySettings
 from cinderway.entry._blackboard import Blackboard, ServiceState
+from cinderway.entry._poison_watch import PoisonWatch
 from cinderway.entry.callers._answers import problem_answer
 from cinderway.entry.callers._attempts import Attempts
 from cinderway.entry.callers._outcomes import (
@@ -19,6 +20,7 @@
     OutcomeError,
     RefusedError,
 )
+from cinderway.entry.callers._poison_permit import PoisonError, PoisonPermit
 from cinderway.entry.callers._reply import Reply, Send
 from cinderway.entry.callers._requests import (
     KEY_HEADER,
@@ -29,6 +31,7 @@
     backend_request_of,
     caller_of,
     deadline_of,
+    digest_of,
     read_body,
     repeatability_of,
 )
@@ -38,6 +41,7 @@
 from cinderway.entry.servers._slots import usable_servers
 from cinderway.ledger import Resolution
 from cinderway.limits import Refused
+from cinderway.poison import RequestDigests
 from cinderway.routing import RouteMatch
 from cinderway.table import AnswerMode
 
@@ -57,6 +61,10 @@
     run_once: RunOnce
     metrics: Metrics
     reports: ReportServer
+    watch: PoisonWatch = field(default_factory=PoisonWatch)
+
+    def __post_init__(self):
+        self.digests = RequestDigests(self.settings.shared_key)
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one request."""
@@ -78,6 +86,9 @@
             )
         except OutcomeError as error:
             await reply.own(problem_answer(error.error, error.outcome))
+        except PoisonError as error:
+            after_s = error.retry_after_ms / 1000
+            await reply.own(problem_answer(error, Resolution.NOT_RUN, after_s))
         except CinderwayError as error:
             await reply.own(problem_answer(error, Resolution.NOT_RUN))
         except AnswerBrokenError:
@@ -119,6 +130,9 @@
         service.admission.enter(caller)
         try:
             body = await read_body(receive, self.settings.body_limit_kib * 1024)
+            permit = PoisonPermit(
+                watch=self.watch, metrics=self.metrics, origin=service.row.name
+            )
             request = CallerRequest(
                 method=scope["method"],
                 path=scope["path"],
@@ -127,7 +141,11 @@
                 deadline_ms=deadline_ms,
                 body=body,
                 backend_request=backend_request_of(scope, body),
+                permit=permit,
             )
+            permit.digest = digest_of(request, self.digests)
+            # Before a request that runs once is claimed: it is not run here.
+            permit.require()
             await self._serve_by_kind(match, service, request, receive, reply)
         finally:
             service.admission.leave(caller)
--- a/src/cinderway/entry/callers/_requests.py
+++ b/src/cinderway/entry/callers/_requests.py
@@ -7,7 +7,13 @@
 import xxhash
 
 from cinderway._http_body import whole_body
-from cinderway._ids import AccountName, AttemptId, CallerName, ServerName
+from cinderway._ids import (
+    AccountName,
+    AttemptId,
+    CallerName,
+    RequestDigest,
+    ServerName,
+)
 from cinderway.entry.servers._messages import (
     DEADLINE_HEADER,
     OWN_NAMES,
@@ -16,10 +22,12 @@
     Headers,
 )
 from cinderway.entry.servers._permit import UNLIMITED, Permit
+from cinderway.poison import RequestDigests
 from cinderway.routing import USUAL_PENALTIES, Penalties, RouteMatch
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 KEY_HEADER = b"idempotency-key"
+AUTHORIZATION = b"authorization"
 KEY_LIMIT_BYTES = 255
 # Servers that one request may reach where nothing else is said.
 ATTEMPT_LIMIT = 4
@@ -123,6 +131,15 @@
     return xxhash.xxh3_128_digest(b"\0".join(parts))
 
 
+def digest_of(request: CallerRequest, digests: RequestDigests) -> RequestDigest:
+    """Return what all repeats of a request share, at whichever entry they come."""
+    sent = request.backend_request
+    # Where callers have no names only what a request carries tells them apart.
+    caller = request.caller.encode() or request.header(AUTHORIZATION) or b""
+    host = request.header(b"host") or b""
+    return digests.of(sent.method, host, sent.target, caller, sent.body)
+
+
 def backend_request_of(
     scope: dict,
     body: bytes,
--- a/src/cinderway/entry/callers/_route_handler.py
+++ b/src/cinderway/entry/callers/_route_handler.py
@@ -15,23 +15,24 @@
 from cinderway._ids import (
     AttemptId,
     CallerName,
-    RequestDigest,
     ServiceName,
 )
 from cinderway._operators import Metrics
 from cinderway.catalog import RouteRow, pick_service
 from cinderway.entry._catalog_board import CatalogBoard
-from cinderway.entry.callers._accounts import AUTHORIZATION, headers_for_servers
+from cinderway.entry.callers._accounts import headers_for_servers
 from cinderway.entry.callers._answers import problem_answer
 from cinderway.entry.callers._attempts import Attempts
 from cinderway.entry.callers._outcomes import OutcomeError
-from cinderway.entry.callers._permits import PoisonError, RequestPermit
+from cinderway.entry.callers._permits import RequestPermit
+from cinderway.entry.callers._poison_permit import PoisonError
 from cinderway.entry.callers._policies import penalties_of, retry_after_s
 from cinderway.entry.callers._reply import Reply, Send
 from cinderway.entry.callers._requests import (
     CallerLeftError,
     CallerRequest,
     backend_request_of,
+    digest_of,
     find_header,
     read_body,
 )
@@ -133,7 +134,11 @@
         served.route = route = self._route_of(scope)
         # Before the body: whoever may not send it need not.
         permit = RequestPermit(
-            self.state, self.allowances, scope["headers"], self.metrics
+            watch=self.state.poison,
+            metrics=self.metrics,
+            state=self.state,
+            allowances=self.allowances,
+            headers=scope["headers"],
         )
         served.permit = permit
         await permit.take(route)
@@ -147,10 +152,8 @@
             scope, route, served, deadline_ms, body
         )
         permit.attempt_id = request.attempt_id
-        permit.digest = self._digest_of(request)
-        refusal = permit.refusal()
-        if refusal is not None:
-            raise refusal
+        permit.digest = digest_of(request, self.digests)
+        permit.require()
         await self._attempt(route, served.service, request, receive, reply)
 
     def _request_of(
@@ -186,14 +189,6 @@
             permit=served.permit,
         )
 
-    def _digest_of(self, request: CallerRequest) -> RequestDigest:
-        """Return what all repeats of a request share, at whichever entry they come."""
-        sent = request.backend_request
-        # Without accounts only what a request carries tells its caller.
-        caller = request.caller.encode() or request.header(AUTHORIZATION) or b""
-        host = request.header(b"host") or b""
-        return self.digests.of(sent.method, host, sent.target, caller, sent.body)
-
     async def _wait_for_sheet(self, scope: dict, now_ms: int) -> None:
         if self.state.routes is not None:
             return
--- a/src/cinderway/entry/callers/_stream.py
+++ b/src/cinderway/entry/callers/_stream.py
@@ -54,6 +54,7 @@
             transfer.deadline_ms(),
             exclude=transfer.exclude,
             is_repeatable=True,
+            permit=transfer.request.permit,
         ) as exchange:
             answer = exchange.answer
             if transfer.download is not None:
@@ -67,6 +68,8 @@
                 transfer.download = Download(answer)
                 await transfer.reply.begin(answer)
             await self._relay(transfer, exchange)
+        if transfer.download.status < SERVER_ERROR:
+            transfer.request.permit.note_good_run()
         return True
 
     async def _relay(self, transfer: "_Transfer", exchange: Exchange) -> None:
@@ -85,6 +88,8 @@
                 blocked_ms = monotonic_ms() - before_ms
                 evidence.caller_blocked(exchange.attempt, blocked_ms)
         except CinderwayError:
+            # No sign of the server's end: a download that is cut goes on elsewhere, as
+            # often as it takes.
             evidence.fail(exchange.attempt, Bad.CUT)
             raise
         finally:
--- a/src/cinderway/entry/fleet/_assessor_server.py
+++ b/src/cinderway/entry/fleet/_assessor_server.py
@@ -1,5 +1,6 @@
 """This entry as an assessor: takes other entries' reports and sends them sheets."""
 
+import logging
 from dataclasses import dataclass, field
 
 import anyio
@@ -14,7 +15,16 @@
     GroupView,
     ReporterState,
 )
-from cinderway.wire import Connection, Route
+from cinderway.poison import (
+    PoisonTally,
+    RequestRuling,
+    RequestRulings,
+    RequestRuns,
+    Ruling,
+)
+from cinderway.wire import Connection, Message, Route
+
+logger = logging.getLogger(__name__)
 
 # At bad news it decides at once.
 DECIDE_PAUSE_S = 0.1
@@ -39,6 +49,9 @@
 
     def __init__(self, board: Blackboard):
         self.assessor = Assessor(board.name)
+        self.tally = PoisonTally()
+        # Rulings on requests that the entries here are to be told of.
+        self._rulings: list[Ruling] = []
         self._board = board
         self._sessions: set[_Session] = set()
         self._bad_news = anyio.Event()
@@ -59,6 +72,7 @@
             if not self._sessions:
                 continue
             now_ms = monotonic_ms()
+            await self._tell_rulings(now_ms)
             views = self.assessor.decide(self._board.table, now_ms)
             for session in list(self._sessions):
                 await self._send_if_due(session, views.get(session.group), now_ms)
@@ -70,8 +84,13 @@
         try:
             while True:
                 envelope = await connection.receive()
-                if isinstance(envelope.message, EvidenceReport):
-                    self._take(session, envelope.message)
+                match envelope.message:
+                    case EvidenceReport() as report:
+                        self._take(session, report)
+                    case RequestRuns() as runs:
+                        self._note(self.tally.note_runs(runs, monotonic_ms()))
+                    case RequestRulings() as told:
+                        self._note(self.tally.learn_all(told, monotonic_ms()))
         finally:
             self._sessions.discard(session)
 
@@ -82,6 +101,22 @@
         if any(evidence.bad for evidence in report.servers):
             self._bad_news.set()
 
+    def _note(self, rulings: list[Ruling]) -> None:
+        """Keep rulings for the next telling."""
+        for ruling in rulings:
+            logger.info("%s", ruling)
+        if rulings:
+            self._rulings += rulings
+            self._bad_news.set()
+
+    async def _tell_rulings(self, now_ms: int) -> None:
+        rulings, self._rulings = self._rulings, []
+        if not rulings:
+            return
+        told = RequestRulings([RequestRuling.of(r, now_ms) for r in rulings])
+        for session in list(self._sessions):
+            await self._send(session, told)
+
     async def _send_if_due(
         self, session: _Session, view: GroupView | None, now_ms: int
     ) -> None:
@@ -97,10 +132,13 @@
         session.sent = view
         session.sent_at_ms = now_ms
         session.reporter.note_sheet(sequence, now_ms)
+        await self._send(session, sheet)
+
+    async def _send(self, session: _Session, message: Message) -> None:
         try:
             # A peer that does not read must not hold up the others' sheets.
             with anyio.fail_after(DECIDE_PAUSE_S):
-                await session.connection.send(sheet)
+                await session.connection.send(message)
         except (CinderwayError, TimeoutError):
             self._sessions.discard(session)
             await session.connection.aclose()
--- a/src/cinderway/entry/fleet/_catalog_follower.py
+++ b/src/cinderway/entry/fleet/_catalog_follower.py
@@ -22,7 +22,6 @@
     FollowCatalog,
     GrantAllowances,
     HallEntries,
-    RequestRulings,
     RetryAnswer,
     ServerLoads,
     SuspectServers,
@@ -46,6 +45,7 @@
 )
 from cinderway.entry.fleet._sent_times import SentTimes
 from cinderway.entry.fleet._standby import SILENT_LIMIT_S, Standby
+from cinderway.poison import RequestRulings
 from cinderway.wire import Connection, Envelope, Identity, connect
 
 logger = logging.getLogger(__name__)
--- a/src/cinderway/entry/fleet/_reporter.py
+++ b/src/cinderway/entry/fleet/_reporter.py
@@ -10,6 +10,7 @@
 from cinderway._errors import CinderwayError
 from cinderway._ids import Address, EntryName, ServiceName
 from cinderway.entry._blackboard import Blackboard, ServerState, ServiceState
+from cinderway.entry._poison_watch import PoisonWatch
 from cinderway.entry.fleet._report_server import ReportServer
 from cinderway.judgement import (
     JUDGEMENT,
@@ -31,6 +32,7 @@
     service_norms,
     verdict_quorum,
 )
+from cinderway.poison import RequestRulings
 from cinderway.reports import Happening
 from cinderway.table import EntryReport
 from cinderway.wire import Connection, Identity, connect
@@ -76,6 +78,7 @@
     own_address: Address
     tasks: TaskGroup
     reports: ReportServer
+    watch: PoisonWatch = field(default_factory=PoisonWatch)
     ejections: int = 0
     held_by_floor: int = 0
     _links: dict[tuple[int, EntryName], _Link] = field(default_factory=dict)
@@ -98,6 +101,8 @@
             if self.evidence.has_urgent or now_ms - self._reported_at_ms >= GATHER_MS:
                 self._reported_at_ms = now_ms
                 await self._report(now_ms)
+            if self.watch.has_news.is_set():
+                await self._tell_runs()
             if now_ms - self._applied_at_ms >= APPLY_PAUSE_MS:
                 self.apply(now_ms)
 
@@ -136,10 +141,15 @@
             connection = await connect(address, JUDGEMENT, self.identity)
             link = self._links[key] = _Link(assessor, group, connection)
             self._connecting.discard(key)
+            # An assessor that has just started knows of no request that is refused.
+            await connection.send(self.watch.rulings())
             while True:
                 envelope = await connection.receive()
-                if isinstance(envelope.message, VerdictSheet):
-                    self._take(link, envelope.message)
+                match envelope.message:
+                    case VerdictSheet() as sheet:
+                        self._take(link, sheet)
+                    case RequestRulings() as told:
+                        self.watch.hear_rulings(told)
         except CinderwayError:
             # A link that is no longer in use was closed here, not by the assessor.
             if link is None or self._links.get(key) is link:
@@ -170,6 +180,20 @@
             if evidence or now_ms - link.last_sent_at_ms >= IDLE_REPORT_MS:
                 await self._send(key, link, evidence, now_ms)
 
+    async def _tell_runs(self) -> None:
+        """Tell all assessors under which requests servers ended."""
+        runs = self.watch.take_runs()
+        for link in list(self._links.values()):
+            try:
+                with anyio.fail_after(SEND_TIMEOUT_S):
+                    await link.connection.send(runs)
+            except (CinderwayError, TimeoutError) as error:
+                logger.info(
+                    "assessor %s was not told of ends of servers: %s",
+                    link.assessor,
+                    str(error) or "slow",
+                )
+
     async def _send(
         self,
         key: tuple[int, EntryName],
--- a/src/cinderway/experiment/_halls.py
+++ b/src/cinderway/experiment/_halls.py
@@ -13,8 +13,6 @@
     InstallSheet,
     Register,
     RegisteredServer,
-    RequestRulings,
-    RequestRuns,
     RouteRow,
     RouteSheet,
     ServerLoads,
@@ -29,6 +27,7 @@
 from cinderway.experiment._declaration import Experiment
 from cinderway.experiment._servers import ModelServer
 from cinderway.experiment._virtual_time import call_later
+from cinderway.poison import RequestRulings, RequestRuns
 from cinderway.table import Bias
 from cinderway.wire import Message
 
--- a/src/cinderway/judgement/_conversation.py
+++ b/src/cinderway/judgement/_conversation.py
@@ -4,6 +4,7 @@
 
 from cinderway._ids import DataHall, EntryName, ServerName, ServiceName
 from cinderway.judgement._evidence import Bad, ServerCounts
+from cinderway.poison import RequestRulings, RequestRuns
 from cinderway.wire import Conversation, Message
 
 
@@ -120,7 +121,9 @@
     servers: list[ServerVerdict]
 
 
-JUDGEMENT = Conversation("judgement", 1, (EvidenceReport, VerdictSheet))
+JUDGEMENT = Conversation(
+    "judgement", 1, (EvidenceReport, VerdictSheet, RequestRuns, RequestRulings)
+)
 
 
 def evidence_from(
--- a/src/cinderway/poison/__init__.py
+++ b/src/cinderway/poison/__init__.py
@@ -7,6 +7,12 @@
 """
 
 from cinderway.poison._digest import DIGEST_BYTES, RequestDigests
+from cinderway.poison._messages import (
+    EndedRun,
+    RequestRuling,
+    RequestRulings,
+    RequestRuns,
+)
 from cinderway.poison._ruling import NO_RULING, Ruling, Standing
 from cinderway.poison._tally import (
     CLEARED_FOR_MS,
@@ -24,11 +30,15 @@
     "ENDS_TO_REFUSE",
     "ENDS_TO_WATCH",
     "KEPT_LIMIT",
+    "EndedRun",
     "NO_RULING",
     "REFUSED_FOR_MS",
     "REMEMBERED_MS",
     "PoisonTally",
     "RequestDigests",
+    "RequestRuling",
+    "RequestRulings",
+    "RequestRuns",
     "Ruling",
     "Standing",
 ]
--- a/src/cinderway/poison/_tally.py
+++ b/src/cinderway/poison/_tally.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from cinderway._ids import RequestDigest, ServerName
+from cinderway.poison._messages import RequestRulings, RequestRuns
 from cinderway.poison._ruling import NO_RULING, Ruling, Standing
 
 ENDS_TO_WATCH = 2
@@ -106,6 +107,17 @@
             self._suspects.pop(ruling.digest, None)
         return True
 
+    def note_runs(self, runs: RequestRuns, now_ms: int) -> list[Ruling]:
+        """Note what an entry saw; return the rulings that are new."""
+        found = [self.note_end(run.digest, run.server, now_ms) for run in runs.ended]
+        found += [self.note_good(digest, now_ms) for digest in runs.good]
+        return [ruling for ruling in found if ruling is not None]
+
+    def learn_all(self, told: RequestRulings, now_ms: int) -> list[Ruling]:
+        """Take over another process's rulings; return those that were newer."""
+        rulings = [line.ruling(now_ms) for line in told.lines]
+        return [ruling for ruling in rulings if self.learn(ruling, now_ms)]
+
     def standing_of(self, digest: RequestDigest, now_ms: int) -> Standing:
         """Return how a request stands."""
         return self.ruling_of(digest, now_ms).standing
--- a/src/cinderway/wire/schemas/judgement.capnp
+++ b/src/cinderway/wire/schemas/judgement.capnp
@@ -6,9 +6,19 @@
   union {
     evidenceReport @1 :EvidenceReport;
     verdictSheet @2 :VerdictSheet;
+    requestRuns @3 :RequestRuns;
+    requestRulings @4 :RequestRulings;
   }
 }
 
+struct RequestRuns {
+  packed @0 :Data;
+}
+
+struct RequestRulings {
+  packed @0 :Data;
+}
+
 struct EvidenceReport {
   entry @0 :Text;
   dataHall @1 :Text;
--- a/tests/control/test_poison_news.py
+++ b/tests/control/test_poison_news.py
@@ -6,18 +6,10 @@
 import anyio
 
 from cinderway._ids import Address, DataHall, RequestDigest
-from cinderway.catalog import (
-    CATALOG,
-    AnnounceReplica,
-    CatalogMachine,
-    EndedRun,
-    RequestRulings,
-    RequestRuns,
-    encode_command,
-)
+from cinderway.catalog import CATALOG, AnnounceReplica, CatalogMachine, encode_command
 from cinderway.control import _poison_news
 from cinderway.control._poison_news import PoisonNews
-from cinderway.poison import Standing
+from cinderway.poison import EndedRun, RequestRulings, RequestRuns, Standing
 
 ADDRESSES = ("10.1.0.1:7100", "10.1.0.2:7100", "10.2.0.1:7100")
 OWN, *OTHERS = ADDRESSES
--- a/tests/entry/callers/test_route_handler.py
+++ b/tests/entry/callers/test_route_handler.py
@@ -175,7 +175,7 @@
 
     def test_a_run_that_broke_off_is_logged_by_what_repeats_share(self):
         self.install(1)
-        with self.assertLogs("cinderway.entry.callers._permits") as logs:
+        with self.assertLogs("cinderway.entry.callers._poison_permit") as logs:
             for attempt in (b"a1", b"a2"):
                 caller = Caller(60_000, headers=[(b"cinderway-attempt", attempt)])
                 anyio.run(self.serve, caller)
--- /dev/null
+++ b/tests/entry/fleet/test_assessor_server.py
@@ -0,0 +1,75 @@
+"""Entries that report to one assessor learn from it which requests end servers."""
+
+import random
+import unittest
+
+import anyio
+
+from cinderway._ids import DataHall, EntryName, RequestDigest
+from cinderway.entry._blackboard import Blackboard
+from cinderway.entry.fleet._assessor_server import AssessorServer
+from cinderway.poison import (
+    EndedRun,
+    PoisonTally,
+    RequestRuling,
+    RequestRulings,
+    RequestRuns,
+    Standing,
+)
+from cinderway.wire import Envelope
+
+D = RequestDigest(b"d" * 16)
+
+
+class ReportingEntry:
+    """One entry: what it tells, and how requests stand by what it hears."""
+
+    def __init__(self, *told):
+        self.told = list(told)
+        self.standings = []
+
+    async def receive(self):
+        if not self.told:
+            await anyio.sleep_forever()
+        return Envelope(0, self.told.pop(0))
+
+    async def send(self, message):
+        if isinstance(message, RequestRulings):
+            self.standings += [line.standing for line in message.lines]
+
+
+def ended(*servers):
+    return RequestRuns([EndedRun(D, server) for server in servers], [])
+
+
+class AssessorServerTests(unittest.TestCase):
+    def hear(self, *entries, until):
+        """Serve these entries until one of them has heard that many rulings."""
+        board = Blackboard(EntryName("e0"), DataHall("suva"), random.Random(1))
+        server = AssessorServer(board)
+
+        async def run():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.run)
+                for entry in entries:
+                    tasks.start_soon(server._serve, entry, "entry")
+                with anyio.fail_after(20):
+                    while min(len(entry.standings) for entry in entries) < until:
+                        await anyio.sleep(0.001)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
+    def test_ends_that_different_entries_saw_are_counted_together(self):
+        entries = [ReportingEntry(ended("a", "b")), ReportingEntry(ended("c"))]
+        self.hear(*entries, until=1)
+        for entry in entries:
+            self.assertIs(entry.standings[-1], Standing.REFUSED)
+
+    def test_what_an_entry_knows_already_is_passed_on(self):
+        tally = PoisonTally()
+        rulings = [tally.note_end(D, server, 0) for server in ("a", "b", "c")]
+        known = RequestRulings([RequestRuling.of(rulings[-1], 0)])
+        entries = [ReportingEntry(known), ReportingEntry()]
+        self.hear(*entries, until=1)
+        self.assertEqual(entries[1].standings, [Standing.REFUSED])
--- a/tests/entry/test_poison_watch.py
+++ b/tests/entry/test_poison_watch.py
@@ -4,10 +4,16 @@
 from unittest.mock import patch
 
 from cinderway._ids import RequestDigest
-from cinderway.catalog import EndedRun, RequestRuling, RequestRuns
 from cinderway.entry import _poison_watch
 from cinderway.entry._poison_watch import ANSWERED_LIMIT, TOLD_LIMIT, PoisonWatch
-from cinderway.poison import PoisonTally, Standing
+from cinderway.poison import (
+    EndedRun,
+    PoisonTally,
+    RequestRuling,
+    RequestRulings,
+    RequestRuns,
+    Standing,
+)
 
 D, E = RequestDigest(b"d" * 16), RequestDigest(b"e" * 16)
 SERVERS = ("a", "b", "c")
@@ -20,6 +26,10 @@
     return RequestRuling.of(rulings[-1], at_ms)
 
 
+def told(*lines):
+    return RequestRulings(list(lines))
+
+
 class PoisonWatchTests(unittest.TestCase):
     def setUp(self):
         self.now_ms = 1_000
@@ -69,7 +79,7 @@
         self.assertIs(self.standing(), Standing.CLEARED)
 
     def test_what_the_replica_rules_is_in_force_and_those_that_wait_are_woken(self):
-        self.watch.hear_rulings([refused()])
+        self.watch.hear_rulings(told(refused()))
         self.assertIsNotNone(self.watch.refusal_of(D))
         self.assertIsNone(self.watch.refusal_of(E))
         self.assertEqual(len(self.woken), 1)
@@ -77,7 +87,7 @@
     def test_a_good_answer_is_told_where_it_clears_a_request(self):
         self.watch.note_good(E)
         self.assertFalse(self.watch.has_news.is_set())
-        self.watch.hear_rulings([refused()])
+        self.watch.hear_rulings(told(refused()))
         self.watch.note_good(D)
         self.assertIsNone(self.watch.refusal_of(D))
         self.assertEqual(self.watch.take_runs().good, [D])
@@ -85,7 +95,7 @@
     def test_a_ruling_that_a_good_answer_since_contradicts_is_objected_to(self):
         """A read that is asked for all the time was under way at all that ended."""
         self.watch.note_good(D)
-        self.watch.hear_rulings([refused(at_ms=self.now_ms)])
+        self.watch.hear_rulings(told(refused(at_ms=self.now_ms)))
         self.assertIsNone(self.watch.refusal_of(D))
         self.assertEqual(self.watch.take_runs().good, [D])
         self.assertEqual(self.woken, [])
@@ -93,7 +103,7 @@
     def test_good_answers_before_the_first_end_say_nothing(self):
         self.watch.note_good(D)
         self.now_ms += 1
-        self.watch.hear_rulings([refused(at_ms=self.now_ms)])
+        self.watch.hear_rulings(told(refused(at_ms=self.now_ms)))
         self.assertIsNotNone(self.watch.refusal_of(D))
 
     def test_good_answers_are_remembered_for_so_many_requests_only(self):
@@ -107,9 +117,9 @@
         self.assertEqual(len(self.watch.take_runs().ended), TOLD_LIMIT)
 
     def test_a_replica_that_knows_nothing_is_told_what_is_in_force(self):
-        self.watch.hear_rulings([refused()])
+        self.watch.hear_rulings(told(refused()))
         (line,) = self.watch.rulings().lines
         self.assertIs(line.standing, Standing.REFUSED)
         other = PoisonWatch()
-        other.hear_rulings([line])
+        other.hear_rulings(told(line))
         self.assertIsNotNone(other.refusal_of(D))
--- a/tests/wire/test_packed.py
+++ b/tests/wire/test_packed.py
@@ -8,14 +8,10 @@
 from cinderway.catalog import (
     CATALOG,
     AskAllowances,
-    EndedRun,
     EvidenceBatch,
     GrantAllowances,
     GrantedAllowance,
     HeldAllowance,
-    RequestRuling,
-    RequestRulings,
-    RequestRuns,
     ServerLoad,
     ServerLoads,
     ServicePace,
@@ -23,7 +19,13 @@
     VerdictBatch,
     VerdictLine,
 )
-from cinderway.poison import Standing
+from cinderway.poison import (
+    EndedRun,
+    RequestRuling,
+    RequestRulings,
+    RequestRuns,
+    Standing,
+)
 
 MESSAGES = (
     ServerLoads([ServerLoad("i-1", 0.5, 3), ServerLoad("i-2", -1.0)]),
