entry: ends of servers that nobody takes do not pile up

An entry without a replica and without peers kept each; found by reading, the test failed first. The replica's method for an operator's word is called bar, as in the tally.

--- a/src/cinderway/control/_catalog_http.py
+++ b/src/cinderway/control/_catalog_http.py
@@ -122,7 +122,7 @@
             case ("GET", path) if path == REFUSALS_PATH:
                 return self._list_refusals()
             case ("PUT", path) if path.startswith(REFUSALS_PREFIX):
-                self.service.hall.poison.refuse(_digest_in(path))
+                self.service.hall.poison.bar(_digest_in(path))
                 return Answer(OK)
             case ("DELETE", path) if path.startswith(REFUSALS_PREFIX):
                 self.service.hall.poison.lift(_digest_in(path))
--- a/src/cinderway/control/_poison_news.py
+++ b/src/cinderway/control/_poison_news.py
@@ -89,7 +89,7 @@
             if self.tally.learn(ruling, now_ms):
                 self._note(ruling)
 
-    def refuse(self, digest: RequestDigest) -> None:
+    def bar(self, digest: RequestDigest) -> None:
         """Refuse a request on an operator's word."""
         self._rule(self.tally.bar(digest, monotonic_ms()))
 
--- a/src/cinderway/entry/_poison_watch.py
+++ b/src/cinderway/entry/_poison_watch.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -26,7 +27,7 @@
 
 # Good answers that are remembered: some tens of seconds of an entry's traffic.
 ANSWERED_LIMIT = 1_024
-# Of one telling; the newest are told.
+# That wait to be told, and of one telling; the newest are kept.
 TOLD_LIMIT = 256
 
 
@@ -38,7 +39,7 @@
     # Told of each request that is refused from now on.
     on_refusal: Callable[[], None] | None = None
     has_news: anyio.Event = field(default_factory=anyio.Event)
-    _ended: list[EndedRun] = field(default_factory=list)
+    _ended: deque[EndedRun] = field(default_factory=lambda: deque(maxlen=TOLD_LIMIT))
     _good: dict[RequestDigest, None] = field(default_factory=dict)
     # When each request was answered well here last, oldest first.
     _answered_at_ms: dict[RequestDigest, int] = field(default_factory=dict)
@@ -75,7 +76,8 @@
 
     def take_runs(self) -> RequestRuns:
         """Return what is to be told since the last call."""
-        ended, self._ended = self._ended[-TOLD_LIMIT:], []
+        ended = list(self._ended)
+        self._ended.clear()
         good, self._good = list(self._good)[-TOLD_LIMIT:], {}
         # One that is not set yet may be waited for by another task: it must stay.
         if self.has_news.is_set():
@@ -84,7 +86,9 @@
 
     def put_back(self, runs: RequestRuns) -> None:
         """Tell later what could not be told now."""
-        self._ended = runs.ended + self._ended
+        since = list(self._ended)
+        self._ended.clear()
+        self._ended.extend(runs.ended + since)
         self._good = dict.fromkeys(runs.good) | self._good
         self.has_news.set()
 
--- a/tests/entry/test_poison_watch.py
+++ b/tests/entry/test_poison_watch.py
@@ -111,6 +111,13 @@
             self.watch.note_good(RequestDigest(number.to_bytes(16)))
         self.assertEqual(len(self.watch._answered_at_ms), ANSWERED_LIMIT)
 
+    def test_what_nobody_takes_does_not_pile_up(self):
+        """An entry without a replica and without peers tells nobody."""
+        for number in range(2 * TOLD_LIMIT):
+            self.watch.note_broken(RequestDigest(number.to_bytes(16)), "a")
+        self.assertEqual(len(self.watch._ended), TOLD_LIMIT)
+        self.assertEqual(self.watch._ended[-1].digest, number.to_bytes(16))
+
     def test_a_telling_is_bounded(self):
         for number in range(2 * TOLD_LIMIT):
             self.watch.note_broken(RequestDigest(number.to_bytes(16)), "a")
