entry: a request that a server turns away has a line of its own

Cause: a shed left no trace of its own: neither what the server said with it (how long it wants nothing) nor until when the entry passes it over, so that "nobody reads it" could not be told from "it was lost". Change: one line a shed, with request, server, status, Retry-After as sent, requests of this entry there, and the pause. No change of behaviour.

--- a/src/cinderway/entry/servers/_dispatch.py
+++ b/src/cinderway/entry/servers/_dispatch.py
@@ -1,5 +1,6 @@
 """Bring a request to a backend server: wait for a slot, attempt, note what came."""
 
+import logging
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -28,7 +29,10 @@
 )
 from cinderway.routing import USUAL_PENALTIES, Penalties
 
+logger = logging.getLogger(__name__)
+
 SERVER_ERROR = 500
+RETRY_AFTER = b"retry-after"
 # After a shed the server gets nothing from this entry for about the time that one
 # of its slots stays taken.
 SHED_PAUSE_SHARE = 0.5
@@ -113,7 +117,7 @@
             )
             try:
                 exchange = Exchange(answer, server, attempt, attempt.mark_ms, permit)
-                self._note_head(service, exchange)
+                self._note_head(service, exchange, attempt_id)
                 yield exchange
             finally:
                 with anyio.CancelScope(shield=True):
@@ -207,7 +211,9 @@
                 permit.note_broken_run(server.row.name, run_ms)
             raise
 
-    def _note_head(self, service: ServiceState, exchange: Exchange) -> None:
+    def _note_head(
+        self, service: ServiceState, exchange: Exchange, attempt_id: AttemptId
+    ) -> None:
         """Note what an answer's head says; raise if the request was not run."""
         now_ms = monotonic_ms()
         answer, server = exchange.answer, exchange.server
@@ -222,7 +228,20 @@
             )
         if answer.is_shed:
             self.sheds += 1
-            server.pause_until_ms = now_ms + self._shed_pause_ms(service)
+            pause_ms = self._shed_pause_ms(service)
+            server.pause_until_ms = now_ms + pause_ms
+            retry_after = answer.header(RETRY_AFTER) or b"none"
+            logger.info(
+                "backend server %s of %s turned request %s away: status %d, "
+                "retry-after %s, %d requests of this entry there; paused for %d ms",
+                server.row.name,
+                service.row.name,
+                attempt_id,
+                answer.status,
+                retry_after.decode("latin-1"),
+                server.in_flight,
+                pause_ms,
+            )
             raise _refused(
                 server, ErrorCode.BACKEND_SHED, "the backend server shed the request"
             )
