pushback, entry: servers that ask for rest or leave are left alone, on every way

Cause: nothing read how long a server that turns a request away wants none, nor the header by which servers of that platform say that they leave; what was known was asked for only when a server was chosen, and went with the server's state when it was listed anew. Change: a pure package reads the words (RFC 9110; bounded) and keeps them by start of a server, over changes of catalog and table. One question (entry/servers/_holds.py) is asked when a server is chosen, by probes, and again when a connection is there and nothing is written. A request that is held back goes to another server and counts as no try, and is no evidence. Where all rest for too long it is refused at once, with when the first is back. The same question asks the request's permit again (key, requests that end servers).

--- a/src/cinderway/_errors.py
+++ b/src/cinderway/_errors.py
@@ -42,6 +42,8 @@
     REQUEST_TOO_LARGE = "request-too-large"
     BACKEND_FAILED = "backend-failed"
     BACKEND_SHED = "backend-shed"
+    BACKEND_RESTS = "backend-rests"
+    BACKEND_LEAVES = "backend-leaves"
     BACKEND_MISDIRECTED = "backend-misdirected"
     ANSWER_FOREIGN = "answer-foreign"
     ANSWER_CUT_SHORT = "answer-cut-short"
@@ -86,3 +88,19 @@
     def __str__(self) -> str:
         at_peer = f", peer {self.peer}" if self.peer else ""
         return f"[{self.code.value}] {self.detail} (step {self.step.value}{at_peer})"
+
+
+class RefusedForNowError(CinderwayError):
+    """A request that is not sent now, and after how long it may be again."""
+
+    def __init__(
+        self,
+        code: ErrorCode,
+        detail: str,
+        retry_after_ms: int,
+        *,
+        step: Step,
+        peer: str = "",
+    ):
+        super().__init__(code, detail, step=step, peer=peer)
+        self.retry_after_ms = retry_after_ms
--- a/src/cinderway/_settings/_catalog_roles.py
+++ b/src/cinderway/_settings/_catalog_roles.py
@@ -162,6 +162,10 @@
         "Header in which a server tells requests running, waiting and slots.",
         "cinderway-load",
     )
+    leaving_header: bytes = header_field(
+        "Header in any answer by which a server says that it leaves.",
+        "cinderway-drain",
+    )
     seal_header: bytes = header_field(
         "Header that every successful answer of a server carries, if any.", ""
     )
--- a/src/cinderway/entry/_blackboard.py
+++ b/src/cinderway/entry/_blackboard.py
@@ -15,6 +15,7 @@
 from cinderway._ids import DataHall, EntryName, ServerName, ServiceName
 from cinderway.limits import Admission, RetryBudget
 from cinderway.membership import Fleet
+from cinderway.pushback import PushbackBook, ServerPushback
 from cinderway.routing import RouteTable, faded_load
 from cinderway.table import ServerRow, ServiceRow, Table
 
@@ -31,8 +32,8 @@
     known_load: float = 0.0
     load_known_at_ms: int = 0
     tells_load: bool = False
-    # The server's own drain signal, seen here or by another entry.
-    draining_until_ms: int = 0
+    # What it asked for by its own word, heard here or by another entry.
+    pushback: ServerPushback = field(default_factory=ServerPushback)
     is_listed_leaving: bool = False
     pause_until_ms: int = 0
     # It has just failed a request, here or elsewhere in the hall.
@@ -84,7 +85,7 @@
         """
         return (
             self.row.takes_work
-            and now_ms >= self.draining_until_ms
+            and not self.pushback.leaves(now_ms)
             and not self.is_listed_leaving
         )
 
@@ -121,6 +122,8 @@
     fleet: Fleet = field(default_factory=Fleet)
     routes: RouteTable = field(default_factory=lambda: RouteTable([]))
     services: dict[ServiceName, ServiceState] = field(default_factory=dict)
+    # Outlives the servers above, which are made anew whenever they are listed anew.
+    pushback: PushbackBook = field(default_factory=PushbackBook)
     is_table_trusted: bool = False
     is_leaving: bool = False
     in_flight: int = 0
@@ -175,7 +178,9 @@
             known = state.servers.get(server.name)
             if known is None or known.row.address != server.address:
                 state.servers[server.name] = ServerState(
-                    server, joined_at_ms=joined_at_ms
+                    server,
+                    joined_at_ms=joined_at_ms,
+                    pushback=self.pushback.of(server.name),
                 )
             else:
                 known.row = server
--- a/src/cinderway/entry/_catalog_daemon.py
+++ b/src/cinderway/entry/_catalog_daemon.py
@@ -49,8 +49,8 @@
     evidence = EvidenceLog()
     board = Blackboard(settings.name, settings.data_hall, random.Random())
     state = CatalogBoard(board, evidence, settings.lone_retry_percent)
-    dispatcher = Dispatcher(board, BackendConnections(names=names), evidence)
     metrics = Metrics()
+    dispatcher = Dispatcher(board, BackendConnections(names=names), evidence, metrics)
     identity = Identity(settings.name, settings.shared_key)
     follower = CatalogFollower(settings, state, identity, metrics)
     attempts = Attempts(
@@ -94,6 +94,7 @@
         attempt=settings.attempt_header,
         deadline=settings.deadline_header,
         load=settings.load_header,
+        leaving=settings.leaving_header,
         expected=settings.expected_header,
         not_run=settings.not_run_header,
         seal=settings.seal_header,
--- a/src/cinderway/entry/_daemon.py
+++ b/src/cinderway/entry/_daemon.py
@@ -24,8 +24,9 @@
 from cinderway.entry.servers._backends import BackendConnections
 from cinderway.entry.servers._dispatch import Dispatcher
 from cinderway.entry.servers._probe import Prober
-from cinderway.judgement import EvidenceLog
+from cinderway.judgement import DRAIN_VALID_MS, EvidenceLog
 from cinderway.ledger import LedgerClient
+from cinderway.pushback import PushbackBook
 from cinderway.wire import Identity, serve_connections
 
 logger = logging.getLogger(__name__)
@@ -37,10 +38,14 @@
 async def run_entry(settings: EntrySettings) -> None:
     """Run an entry until it is told to stop; requests in flight finish first."""
     configure_logging(settings.log_format, settings.log_level)
-    board = Blackboard(settings.name, settings.data_hall, random.Random())
+    # The table's names of servers outlive their starts.
+    pushback = PushbackBook(leaving_valid_ms=DRAIN_VALID_MS)
+    board = Blackboard(
+        settings.name, settings.data_hall, random.Random(), pushback=pushback
+    )
     identity = Identity(settings.name, settings.shared_key)
     metrics = Metrics()
-    dispatcher = Dispatcher(board, BackendConnections(), EvidenceLog())
+    dispatcher = Dispatcher(board, BackendConnections(), EvidenceLog(), metrics)
     async with anyio.create_task_group() as tasks, anyio.create_task_group() as runs:
         ledger = LedgerClient(settings.ledger, identity, tasks)
         reports = ReportServer(board)
--- a/src/cinderway/entry/callers/_answers.py
+++ b/src/cinderway/entry/callers/_answers.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from cinderway._errors import CinderwayError, ErrorCode
+from cinderway._errors import CinderwayError, ErrorCode, RefusedForNowError
 from cinderway.ledger import Resolution
 
 OUTCOME_HEADER = b"cinderway-outcome"
@@ -32,6 +32,8 @@
     ErrorCode.TABLE_UNKNOWN: 503,
     ErrorCode.NO_QUORUM: 503,
     ErrorCode.BACKEND_SHED: 503,
+    ErrorCode.BACKEND_RESTS: 503,
+    ErrorCode.BACKEND_LEAVES: 503,
     ErrorCode.BACKEND_MISDIRECTED: 503,
     ErrorCode.UNKNOWN_ROUTE: 404,
     # This try has not run and never will.
@@ -71,9 +73,14 @@
 def problem_answer(
     error: CinderwayError,
     outcome: Resolution,
-    retry_after_s: float = DEFAULT_RETRY_AFTER_S,
+    retry_after_s: float | None = None,
 ) -> OwnAnswer:
-    """Return the final answer for an error: what, where, whether it ran, when next."""
+    """Return the final answer for an error: what, where, whether it ran, when next.
+
+    Without `retry_after_s` the error says when, if it knows.
+    """
+    if retry_after_s is None:
+        retry_after_s = _retry_after_s(error)
     status = _status_of(error, outcome)
     problem = Problem(
         type=f"urn:cinderway:error:{error.code.value}",
@@ -95,6 +102,12 @@
     return OwnAnswer(status, headers, msgspec.json.encode(problem))
 
 
+def _retry_after_s(error: CinderwayError) -> float:
+    if isinstance(error, RefusedForNowError):
+        return error.retry_after_ms / 1000
+    return DEFAULT_RETRY_AFTER_S
+
+
 def _status_of(error: CinderwayError, outcome: Resolution) -> int:
     """503 promises that the request did not run; callers may rely on it."""
     status = STATUS_OF_CODE.get(error.code, BAD_GATEWAY)
--- a/src/cinderway/entry/callers/_attempts.py
+++ b/src/cinderway/entry/callers/_attempts.py
@@ -20,6 +20,7 @@
 from cinderway.entry.callers._relay import WholeAnswer, read_whole
 from cinderway.entry.callers._requests import CallerRequest
 from cinderway.entry.servers._dispatch import Dispatcher
+from cinderway.entry.servers._holds import HeldBackError
 from cinderway.ledger import Resolution
 
 SERVER_ERROR = 500
@@ -166,6 +167,9 @@
         request: CallerRequest,
     ) -> bool:
         """Say whether a failed attempt is followed by another, and pay for it."""
+        if isinstance(error, HeldBackError):
+            # No server got it, and the wait for a slot that follows paces it.
+            return request.permit.holds and not request.caller_left.is_set()
         if error.step in (Step.QUEUE, Step.ROUTE):
             return False
         if error.code is ErrorCode.BACKEND_SHED and not self.pays_for_sheds:
@@ -215,6 +219,7 @@
         outcome = outcome_of_attempt(error)
         self.may_have_run = self.may_have_run or outcome is not Resolution.NOT_RUN
         self.unreached += error.step is Step.CONNECT
+        self.rounds -= isinstance(error, HeldBackError)
         return outcome
 
     def note_bad_answer(self, answer: WholeAnswer) -> None:
--- a/src/cinderway/entry/callers/_handler.py
+++ b/src/cinderway/entry/callers/_handler.py
@@ -20,7 +20,7 @@
     OutcomeError,
     RefusedError,
 )
-from cinderway.entry.callers._poison_permit import PoisonError, PoisonPermit
+from cinderway.entry.callers._poison_permit import PoisonPermit
 from cinderway.entry.callers._reply import Reply, Send
 from cinderway.entry.callers._requests import (
     KEY_HEADER,
@@ -86,9 +86,6 @@
             )
         except OutcomeError as error:
             await reply.own(problem_answer(error.error, error.outcome))
-        except PoisonError as error:
-            after_s = error.retry_after_ms / 1000
-            await reply.own(problem_answer(error, Resolution.NOT_RUN, after_s))
         except CinderwayError as error:
             await reply.own(problem_answer(error, Resolution.NOT_RUN))
         except AnswerBrokenError:
--- a/src/cinderway/entry/callers/_poison_permit.py
+++ b/src/cinderway/entry/callers/_poison_permit.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from cinderway._clock import monotonic_ms
-from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._errors import CinderwayError, ErrorCode, RefusedForNowError, Step
 from cinderway._ids import AttemptId, RequestDigest, ServerName
 from cinderway._operators import Metrics
 from cinderway.entry._poison_watch import PoisonWatch
@@ -17,7 +17,7 @@
 UNKNOWN_DIGEST = RequestDigest(b"")
 
 
-class PoisonError(CinderwayError):
+class PoisonError(RefusedForNowError):
     """A request that is not sent, since servers end under it, and until when."""
 
     def __init__(self, ruling: Ruling, now_ms: int):
@@ -26,9 +26,9 @@
             f"the request with digest {ruling.digest.hex()} is "
             f"{ruling.standing.name.lower()}: {len(ruling.servers)} servers ended "
             "while they had it",
+            ruling.until_ms - now_ms,
             step=Step.QUEUE,
         )
-        self.retry_after_ms = ruling.until_ms - now_ms
 
 
 @dataclass(kw_only=True)
--- a/src/cinderway/entry/callers/_relay.py
+++ b/src/cinderway/entry/callers/_relay.py
@@ -15,6 +15,7 @@
     Headers,
 )
 from cinderway.judgement import Bad
+from cinderway.pushback import RETRY_AFTER, UNAVAILABLE
 
 OK = 200
 PARTIAL_CONTENT = 206
@@ -62,10 +63,22 @@
     body = b"".join(parts)
     length = answer.header(b"content-length")
     announced = length if not body and length not in (None, b"0") else None
-    headers = forwarded(_lower(answer.headers), answer.names)
+    headers = headers_for_caller(answer)
     return WholeAnswer(answer.status, headers, body, announced)
 
 
+def headers_for_caller(answer: BackendAnswer) -> Headers:
+    """Return the headers of a server's answer that go on to the caller.
+
+    A rest that a server asks this entry for is not the caller's: another server may
+    take the request at once.
+    """
+    headers = forwarded(_lower(answer.headers), answer.names)
+    if answer.status != UNAVAILABLE:
+        return headers
+    return [(name, value) for name, value in headers if name != RETRY_AFTER]
+
+
 async def next_chunk(chunks, exchange: Exchange, stall_timeout_ms: int) -> bytes | None:
     """Return the next part of a streamed body, or None at its end."""
     try:
--- a/src/cinderway/entry/callers/_reply.py
+++ b/src/cinderway/entry/callers/_reply.py
@@ -5,8 +5,7 @@
 from cinderway._clock import monotonic_ms
 from cinderway.entry._blackboard import Blackboard
 from cinderway.entry.callers._answers import OUTCOME_HEADER, OwnAnswer
-from cinderway.entry.callers._relay import WholeAnswer
-from cinderway.entry.callers._requests import forwarded
+from cinderway.entry.callers._relay import WholeAnswer, headers_for_caller
 from cinderway.entry.servers._messages import (
     BackendAnswer,
     Headers,
@@ -53,8 +52,7 @@
 
     async def begin(self, answer: BackendAnswer) -> None:
         """Send the head of a streamed answer."""
-        lower = [(name.lower(), value) for name, value in answer.headers]
-        headers = forwarded(lower, answer.names)
+        headers = headers_for_caller(answer)
         length = answer.header(b"content-length")
         if length is not None:
             headers.append((b"content-length", length))
--- a/src/cinderway/entry/callers/_requests.py
+++ b/src/cinderway/entry/callers/_requests.py
@@ -181,7 +181,7 @@
 
 def forwarded(headers: Headers, names: HeaderNames = OWN_NAMES) -> Headers:
     """Return the headers that go on to the other side."""
-    own = {names.deadline, names.expected, names.not_run, names.load}
+    own = {names.deadline, names.expected, names.not_run, names.load, names.leaving}
     named = find_header(headers, b"connection") or b""
     also_dropped = {name.strip().lower() for name in named.split(b",")}
     return [
--- a/src/cinderway/entry/callers/_route_handler.py
+++ b/src/cinderway/entry/callers/_route_handler.py
@@ -11,7 +11,7 @@
 import anyio
 
 from cinderway._clock import monotonic_ms
-from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._errors import CinderwayError, ErrorCode, RefusedForNowError, Step
 from cinderway._ids import (
     AttemptId,
     CallerName,
@@ -25,7 +25,6 @@
 from cinderway.entry.callers._attempts import Attempts
 from cinderway.entry.callers._outcomes import OutcomeError
 from cinderway.entry.callers._permits import RequestPermit
-from cinderway.entry.callers._poison_permit import PoisonError
 from cinderway.entry.callers._policies import penalties_of, retry_after_s
 from cinderway.entry.callers._reply import Reply, Send
 from cinderway.entry.callers._requests import (
@@ -37,7 +36,7 @@
     read_body,
 )
 from cinderway.entry.callers._served import Served
-from cinderway.entry.fleet._allowances import AllowanceError, Allowances
+from cinderway.entry.fleet._allowances import Allowances
 from cinderway.entry.servers._messages import (
     HeaderNames,
 )
@@ -123,7 +122,7 @@
         self, reply: Reply, error: CinderwayError, outcome: Resolution
     ) -> None:
         after_s = retry_after_s(error.code, self.state.board.rng.random())
-        if isinstance(error, AllowanceError | PoisonError):
+        if isinstance(error, RefusedForNowError):
             after_s += error.retry_after_ms / 1000
         await reply.own(problem_answer(error, outcome, after_s))
 
--- a/src/cinderway/entry/fleet/_allowances.py
+++ b/src/cinderway/entry/fleet/_allowances.py
@@ -12,7 +12,7 @@
 import anyio
 
 from cinderway._clock import monotonic_ms
-from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._errors import ErrorCode, RefusedForNowError, Step
 from cinderway._ids import AccountName
 from cinderway.catalog import (
     AccountRow,
@@ -33,12 +33,11 @@
 Ask = Callable[[AskAllowances, float], Awaitable[GrantAllowances | None]]
 
 
-class AllowanceError(CinderwayError):
+class AllowanceError(RefusedForNowError):
     """A request that its account may not send now, and when it may come back."""
 
     def __init__(self, code: ErrorCode, detail: str, retry_after_ms: int):
-        super().__init__(code, detail, step=Step.IDENTIFY)
-        self.retry_after_ms = retry_after_ms
+        super().__init__(code, detail, retry_after_ms, step=Step.IDENTIFY)
 
 
 @dataclass
--- a/src/cinderway/entry/fleet/_reporter.py
+++ b/src/cinderway/entry/fleet/_reporter.py
@@ -266,8 +266,7 @@
             server.share *= join_share(server, service, now_ms)
             server.probes_per_s = said.probes_per_s if said else 0.0
             if said and said.is_draining:
-                heard_until_ms = now_ms + SHEET_VALID_MS
-                server.draining_until_ms = max(server.draining_until_ms, heard_until_ms)
+                server.pushback.leave(now_ms + SHEET_VALID_MS)
             is_ejected = server_name in permitted
             if said and said.is_ejected and not is_ejected:
                 self._note_held(name, server, said)
--- a/src/cinderway/entry/servers/_backends.py
+++ b/src/cinderway/entry/servers/_backends.py
@@ -3,6 +3,7 @@
 import select
 import socket
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -29,6 +30,14 @@
     """The server's side of a connection ended while a request was there."""
 
 
+# Asked when a connection is there and nothing is written yet: why not to write.
+Objection = Callable[[], CinderwayError | None]
+
+
+def no_objection() -> None:
+    """Object to nothing."""
+
+
 class _Stream(httpcore.AsyncNetworkStream):
     """An anyio stream for httpcore, without a timer for each read and write.
 
@@ -134,16 +143,22 @@
         *,
         fresh: bool,
         expected: ServerName | None = None,
+        objection: Objection = no_objection,
     ) -> BackendAnswer:
         """Send a request and return its answer's head.
 
         Raises CinderwayError: with step CONNECT nothing was written, so the request
         did not run; with AWAIT_ANSWER it may have. `fresh` takes a new connection,
         since a server may close an idle one just while a request goes out on it.
+        What `objection` returns is raised, and nothing is written then.
         """
         connection = None if fresh else await self._idle_connection(address)
         if connection is None:
             connection = await self._connect(address)
+        reason = objection()
+        if reason is not None:
+            await connection.give_back(None)
+            raise reason
         connection.is_reusable = False
         connection.sending_began = False
         response = None
--- a/src/cinderway/entry/servers/_messages.py
+++ b/src/cinderway/entry/servers/_messages.py
@@ -9,6 +9,7 @@
 
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import Address, AttemptId
+from cinderway.pushback import ServerWords, words_of
 
 # How long an idle connection may rest where its server does not say.
 IDLE_LIMIT_S = 30.0
@@ -16,7 +17,7 @@
 ATTEMPT_HEADER = b"cinderway-attempt"
 OUTCOME_HEADER = b"cinderway-outcome"
 LOAD_HEADER = b"cinderway-load"
-DRAIN_HEADER = b"cinderway-drain"
+LEAVING_HEADER = b"cinderway-drain"
 NOT_RUN = b"not_run"
 MISDIRECTED = 421
 OK = 200
@@ -41,6 +42,7 @@
     attempt: bytes = ATTEMPT_HEADER
     deadline: bytes = DEADLINE_HEADER
     load: bytes = LOAD_HEADER
+    leaving: bytes = LEAVING_HEADER
     expected: bytes = b""
     not_run: bytes = b""
     seal: bytes = b""
@@ -90,6 +92,16 @@
                 return value
         return None
 
+    def words(self, wall_clock_ms: int) -> ServerWords:
+        """Return what the answer says of the server itself."""
+        return words_of(
+            self.status,
+            self.headers,
+            is_shed=self.is_shed,
+            leaving_header=self.names.leaving,
+            wall_clock_ms=wall_clock_ms,
+        )
+
     @property
     def is_shed(self) -> bool:
         """The server's own word that it did not run the request."""
--- a/src/cinderway/entry/servers/_slots.py
+++ b/src/cinderway/entry/servers/_slots.py
@@ -15,6 +15,11 @@
 from cinderway.entry._blackboard import Blackboard, ServerState, ServiceState
 from cinderway.entry.servers._backends import BackendConnections
 from cinderway.entry.servers._candidates import free_candidates
+from cinderway.entry.servers._holds import (
+    is_open,
+    next_open_at_ms,
+    rest_refusal,
+)
 from cinderway.entry.servers._permit import Permit
 from cinderway.judgement import EvidenceLog
 from cinderway.limits import expected_answer_ms, is_hopeless, plan_connections
@@ -62,6 +67,9 @@
                 give_up_at_ms = wanted.deadline_ms - admission.service_time_ms
                 if now_ms >= give_up_at_ms:
                     raise _no_slot(service)
+                refusal = rest_refusal(service, now_ms, give_up_at_ms)
+                if refusal is not None:
+                    raise refusal
                 wait_ms = _next_change_ms(service, now_ms, give_up_at_ms)
                 with anyio.move_on_after(wait_ms / 1000):
                     await service.slot_freed.wait()
@@ -122,7 +130,7 @@
     return [
         server
         for server in service.servers.values()
-        if server.takes_work(now_ms) and not server.is_ejected
+        if is_open(server, now_ms) and not server.is_ejected
     ]
 
 
@@ -133,13 +141,10 @@
 
 
 def _next_change_ms(service: ServiceState, now_ms: int, give_up_at_ms: float) -> float:
-    """Return the time until a server's pause ends, or the request is given up."""
-    pauses = [
-        server.pause_until_ms
-        for server in service.servers.values()
-        if server.pause_until_ms > now_ms
-    ]
-    return max(min([give_up_at_ms, *pauses]) - now_ms, 1)
+    """Return the time until a pause or rest ends, or the request is given up."""
+    open_at_ms = next_open_at_ms(service, now_ms)
+    until_ms = give_up_at_ms if open_at_ms is None else min(give_up_at_ms, open_at_ms)
+    return max(until_ms - now_ms, 1)
 
 
 def _no_slot(service: ServiceState) -> CinderwayError:
--- a/src/cinderway/experiment/_connections.py
+++ b/src/cinderway/experiment/_connections.py
@@ -10,7 +10,11 @@
 
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import Address, AttemptId, DataHall, ServerName
-from cinderway.entry.servers._backends import ConnectionLostError
+from cinderway.entry.servers._backends import (
+    ConnectionLostError,
+    Objection,
+    no_objection,
+)
 from cinderway.entry.servers._messages import BackendAnswer, BackendRequest
 from cinderway.experiment._declaration import Experiment, PoisonRequest
 from cinderway.experiment._servers import ModelServer, RunBrokenError, ServerAnswer
@@ -48,6 +52,7 @@
         *,
         fresh: bool,
         expected: ServerName | None = None,
+        objection: Objection = no_objection,
     ) -> BackendAnswer:
         """Send a request and return its answer's head. Raises CinderwayError."""
         server = self.servers[address]
@@ -59,6 +64,9 @@
             self._idle[address] -= 1
         else:
             await self._connect(server, way_s)
+        reason = objection()
+        if reason is not None:
+            raise reason
         await anyio.sleep(way_s)
         poison = poison_request_of(self.experiment, request.target)
         answer = await self._run(server, deadline_ms, poison)
--- a/standins/catalog_fleet.py
+++ b/standins/catalog_fleet.py
@@ -58,6 +58,8 @@
 
     `behave` is called for each request with its attempt's name and returns a status;
     `runs` counts what was run, by attempt, and `headers` holds what came with it.
+    `arrivals` counts all requests, also those turned away; `says` are the headers that
+    all answers carry.
     """
 
     def __init__(self, server_id: str, service: str, data_hall: str = "suva"):
@@ -65,6 +67,8 @@
         self.service = service
         self.data_hall = data_hall
         self.runs: list[str] = []
+        self.arrivals: list[str] = []
+        self.says: dict[str, str] = {}
         self.deadlines_ms: list[int] = []
         # The headers of what was run, by attempt.
         self.headers: dict[str, str] = {}
@@ -125,6 +129,7 @@
         if expected != self.server_id:
             self._answer(handler, 421, attempt, b"")
             return
+        self.arrivals.append(attempt)
         self.deadlines_ms.append(int(handler.headers["cinderway-deadline-ms"]))
         status = self.behave(attempt)
         if status == "shed":
@@ -145,7 +150,7 @@
         handler.send_header("cinderway-attempt", attempt)
         if status == 200:
             handler.send_header("cinderway-seal", SEAL.format(id=self.server_id))
-        for name, value in (headers or {}).items():
+        for name, value in (self.says | (headers or {})).items():
             handler.send_header(name, value)
         handler.send_header("content-length", str(len(body)))
         handler.end_headers()
--- a/tests/entry/callers/test_relay.py
+++ b/tests/entry/callers/test_relay.py
@@ -2,10 +2,11 @@
 
 from hypothesis import given, strategies as st
 
-from cinderway.entry.callers._relay import Download
+from cinderway.entry.callers._relay import Download, headers_for_caller
 from cinderway.entry.servers._messages import (
     BackendAnswer,
     BackendRequest,
+    HeaderNames,
 )
 
 REQUEST = BackendRequest(b"GET", b"/maps/1", [(b"host", b"x")], b"")
@@ -20,6 +21,22 @@
     return answer(etag=etag, content_length=length)
 
 
+class HeadersTests(unittest.TestCase):
+    def test_a_rest_asked_of_the_entry_is_not_told_to_the_caller(self):
+        resting = answer(503, retry_after=b"3", x_other=b"1")
+        self.assertEqual(headers_for_caller(resting), [(b"x-other", b"1")])
+
+    def test_a_wait_that_is_the_callers_goes_on(self):
+        waiting = answer(429, retry_after=b"3")
+        self.assertEqual(headers_for_caller(waiting), [(b"retry-after", b"3")])
+
+    def test_a_server_that_leaves_does_not_say_so_to_the_caller(self):
+        names = HeaderNames(leaving=b"server-leaving", passes_own=True)
+        sent = [(b"Server-Leaving", b"1"), (b"x-other", b"1")]
+        leaving = BackendAnswer(200, sent, None, None, names)
+        self.assertEqual(headers_for_caller(leaving), [(b"x-other", b"1")])
+
+
 class DownloadTest(unittest.TestCase):
     @given(st.integers(1, 999))
     def test_rest_is_asked_for_by_range_and_etag(self, sent):
--- a/tests/entry/servers/test_backends.py
+++ b/tests/entry/servers/test_backends.py
@@ -60,8 +60,11 @@
                     return
 
 
-def ask(server, *attempts, pause_s=0.0):
-    """Send attempts one after the other; return (status, body) or the error of each."""
+def ask(server, *attempts, pause_s=0.0, objections=()):
+    """Send attempts one after the other; return (status, body) or the error of each.
+
+    `objections` are raised in place of the attempts that they are keyed by.
+    """
 
     async def run():
         results = []
@@ -85,6 +88,7 @@
                 monotonic_ms() + 5_000,
                 fresh=False,
                 expected="i-1",
+                objection=lambda: dict(objections).get(attempt),
             )
             try:
                 body = b"".join([chunk async for chunk in found.chunks()])
@@ -97,6 +101,21 @@
     return anyio.run(run)
 
 
+class ObjectionTests(unittest.TestCase):
+    def test_what_is_objected_to_is_not_written_and_costs_no_kept_connection(self):
+        objection = CinderwayError(ErrorCode.BACKEND_RESTS, "rests", step=Step.QUEUE)
+        server = Server(answer(), answer(attempt="a3"))
+        attempts = ask(server, "a1", "a2", "a3", objections={"a2": objection})
+        self.assertEqual(attempts, [(200, b"body"), objection, (200, b"body")])
+        self.assertEqual((len(server.requests), server.connections), (2, 1))
+
+    def test_a_new_connection_that_is_objected_to_is_closed_unused(self):
+        objection = CinderwayError(ErrorCode.BACKEND_RESTS, "rests", step=Step.QUEUE)
+        server = Server(answer())
+        self.assertEqual(ask(server, "a1", objections={"a1": objection}), [objection])
+        self.assertEqual(server.requests, [])
+
+
 class AnswerTests(unittest.TestCase):
     def code(self, *sent):
         result = ask(Server(*sent), "a1")[0]
--- a/tests/system/test_catalog.py
+++ b/tests/system/test_catalog.py
@@ -61,6 +61,7 @@
         self.ask_until(200, "/once/1", "warm-up-2", "POST")
         for server in self.servers.values():
             server.runs.clear()
+            server.arrivals.clear()
 
     def ask(self, path, attempt, method="GET", body=b"", **headers):
         headers = {name.replace("_", "-"): value for name, value in headers.items()}
@@ -264,6 +265,36 @@
             self.assertEqual(self.ask("/once/x", f"d{number}", "POST").status, 200)
         self.assertEqual(leaving.runs, [])
 
+    def test_a_server_that_leaves_by_its_answers_alone_gets_nothing_more(self):
+        leaving = self.servers["look1"]
+        leaving.says = {"cinderway-drain": "1"}
+        for number in range(12):
+            answer = self.ask("/look/x", f"g{number}")
+            self.assertEqual(answer.status, 200)
+            self.assertNotIn("cinderway-drain", answer.headers)
+        self.assertLessEqual(len(leaving.runs), 1)
+
+    def test_a_server_that_asks_for_rest_gets_nothing_until_it_is_over(self):
+        resting = self.servers["sub1"]
+        resting.behave = lambda attempt: "shed"
+        resting.says = {"retry-after": "30"}
+        for number in range(12):
+            # Without a second try granted it is refused, which must be true.
+            answer = self.ask("/once/x", f"r{number}", "POST")
+            self.assertIn(answer.status, (200, 503))
+            self.assertEqual(self.runs(f"r{number}"), int(answer.status == 200))
+        self.assertLessEqual(len(resting.arrivals), 1)
+
+    def test_a_request_for_which_all_servers_rest_is_refused_at_once(self):
+        for name in ("sub1", "sub2"):
+            self.servers[name].behave = lambda attempt: "shed"
+            self.servers[name].says = {"retry-after": "30"}
+        answers = [self.ask("/once/x", f"s{number}", "POST") for number in range(4)]
+        last = answers[-1]
+        self.assertEqual(last.status, 503)
+        self.assertIn(b"backend-rests", last.body)
+        self.assertGreater(float(last.headers["retry-after"]), 20)
+
     def test_a_server_whose_address_is_anothers_now_gets_nothing(self):
         self.servers["sub1"].server_id = "i-other"
         self.servers["sub1"].service = "lookup"
