--- a/src/cinderway/experiment/_declaration.py
+++ b/src/cinderway/experiment/_declaration.py
@@ -20,6 +20,8 @@
     ERROR = "error"
     HANG = "hang"
     RESET = "reset"
+    # Turns them away and asks for rest.
+    BUSY = "busy"
 
 
 class Bursts(_Table):
@@ -50,6 +52,8 @@
     work_spread: float = 0.5
     queue: int = 12
     error_share: float = 0.0
+    # What a server asks for when it turns a request away; 0 where it does not.
+    rest_ms: int = 0
     bursts: Bursts | None = None
 
 
@@ -102,6 +106,8 @@
     DARK_SERVERS = "dark-servers"
     # Servers take `factor` times as long.
     SLOW_SERVERS = "slow-servers"
+    # Servers turn `factor` of their requests away, and ask for rest.
+    BUSY_SERVERS = "busy-servers"
     # Callers send `factor` times as many requests.
     SURGE = "surge"
 
--- a/src/cinderway/experiment/_run.py
+++ b/src/cinderway/experiment/_run.py
@@ -37,6 +37,7 @@
     seed: int
     results: list[Result] = field(default_factory=list)
     arrivals: int = 0
+    turned_away: int = 0
     began_at_ms: int = 0
     connections_opened: int = 0
     far_bytes: int = 0
@@ -87,6 +88,7 @@
                 self.played.connections_opened += entry.connections.opened
                 self.played.far_bytes += entry.connections.far_bytes
         self.played.arrivals = sum(server.arrivals for server in self.servers)
+        self.played.turned_away = sum(server.turned_away for server in self.servers)
         self.played.poison_arrivals_ms = self._in_order("poison_arrivals_ms")
         self.played.server_ends_ms = self._in_order("ended_at_ms")
         return self.played
@@ -187,6 +189,13 @@
                 await anyio.sleep(fault.for_ms / 1000)
                 for server in struck:
                     server.is_dark = False
+            case FaultKind.BUSY_SERVERS:
+                struck = self._struck_servers(fault)
+                for server in struck:
+                    server.busy_share = fault.factor
+                await anyio.sleep(fault.for_ms / 1000)
+                for server in struck:
+                    server.busy_share = 0.0
             case FaultKind.SLOW_SERVERS:
                 struck = self._struck_servers(fault)
                 for server in struck:
--- a/src/cinderway/experiment/_servers.py
+++ b/src/cinderway/experiment/_servers.py
@@ -16,6 +16,7 @@
     ModelService,
     PoisonRequest,
 )
+from cinderway.pushback import RETRY_AFTER
 
 OK = 200
 FAILED = 500
@@ -60,7 +61,10 @@
     running: int = 0
     slowed: float = 1.0
     is_dark: bool = False
+    # Of its requests, what it turns away though it has room.
+    busy_share: float = 0.0
     arrivals: int = 0
+    turned_away: int = 0
     ended_at_ms: list[int] = field(default_factory=list)
     poison_arrivals_ms: list[int] = field(default_factory=list)
     _back_at_ms: float = 0.0
@@ -118,7 +122,7 @@
         self.arrivals += 1
         self.poison_arrivals_ms.append(monotonic_ms())
         if not await self._take_slot(deadline_ms):
-            return self._answer(REFUSED, (OUTCOME_HEADER, NOT_RUN))
+            return self._turned_away()
         try:
             await anyio.sleep(poison.ends_after_ms / 1000)
             self._end(poison.down_ms)
@@ -145,8 +149,10 @@
         if failure is BurstFailure.RESET:
             await anyio.sleep(FAILS_AFTER_MS / 1000)
             raise RunBrokenError
+        if failure is BurstFailure.BUSY or self._is_busy():
+            return self._turned_away()
         if not await self._take_slot(deadline_ms):
-            return self._answer(REFUSED, (OUTCOME_HEADER, NOT_RUN))
+            return self._turned_away()
         try:
             work_ms = math.inf if failure else self._work_ms()
             left_ms = max(deadline_ms - monotonic_ms(), 0)
@@ -210,6 +216,15 @@
         middle = math.log(self.service.work_ms) - spread**2 / 2
         return self.rng.lognormvariate(middle, spread) * self.slowed
 
+    def _is_busy(self) -> bool:
+        return bool(self.busy_share) and self.rng.random() < self.busy_share
+
+    def _turned_away(self) -> ServerAnswer:
+        self.turned_away += 1
+        rest_ms = self.service.rest_ms
+        asked = [(RETRY_AFTER, b"%.3f" % (rest_ms / 1000))] if rest_ms else []
+        return self._answer(REFUSED, (OUTCOME_HEADER, NOT_RUN), *asked)
+
     def _answer(self, status: int, *headers: tuple[bytes, bytes]) -> ServerAnswer:
         busy = f"{self.running},{len(self._waiting)},{self.service.slots}"
         return ServerAnswer(status, [(LOAD_HEADER, busy.encode()), *headers])
