reports: what an outcome at a server says of the next request there

`cinderway report servers LOG…`: by service, requests by the outcome before them at the same server and the time between, over all entries' logs; one server's sequence.

--- a/src/cinderway/_cli/_report.py
+++ b/src/cinderway/_cli/_report.py
@@ -13,16 +13,21 @@
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._settings import OperatorSettings
 from cinderway.reports import (
+    GAPS_MS,
     REPORT,
     WINDOWS_S,
     EjectionsAnswer,
+    Followed,
     LevelsAnswer,
     ReadEjections,
     ReadLevels,
     RequestLine,
+    ServerRun,
     burn_rate,
     losses_of,
     parse_request_line,
+    parse_run,
+    runs_by_service,
 )
 from cinderway.table import TABLE, ReadStatus
 from cinderway.wire import Identity, Message, call_once
@@ -31,6 +36,7 @@
 BAR_CHARACTERS = 20
 # A bar is full at this rate: it uses 30 days' budget up in two.
 FULL_BAR_RATE = 14.4
+GAP_NAMES = [f"under {ms / 1000:g} s" for ms in GAPS_MS] + ["later"]
 WINDOW_NAMES = {300: "5 min", 3600: "1 h", 21600: "6 h", 259200: "3 days"}
 
 report = typer.Typer(help="What the entries have seen.", no_args_is_help=True)
@@ -102,10 +108,55 @@
             print(f"  {count:6} of them had gone to {server}")
 
 
-def _request_lines(logs: list[Path]) -> Iterator[RequestLine]:
+@report.command()
+def servers(
+    logs: Annotated[list[Path], typer.Argument(help="Entries' logs.", exists=True)],
+    server: Annotated[
+        str | None, typer.Option(help="Print this server's runs, one by one.")
+    ] = None,
+) -> None:
+    """Print how requests ended by the outcome before them at the same server.
+
+    Over all logs together, for requests that went to one server alone.
+    """
+    found = runs_by_service(filter(None, map(parse_run, _log_lines(logs))))
+    for name, service in sorted(found.items()):
+        if server is not None:
+            _print_runs(service.runs.get(server, []))
+            continue
+        runs = sum(map(len, service.runs.values()))
+        print(f"{name}: {runs} requests at {len(service.runs)} servers")
+        print(f"  {'first one seen':34}{_followed_text(service.first)}")
+        for (is_good, gap), followed in sorted(service.followed.items()):
+            outcome = "a good answer" if is_good else "a failure"
+            print(
+                f"  {f'{GAP_NAMES[gap]} after {outcome}':34}{_followed_text(followed)}"
+            )
+
+
+def _followed_text(followed: Followed) -> str:
+    return (
+        f"{followed.count:6}, {followed.failed:5} failed "
+        f"({followed.failed_percent:.0f}%)"
+    )
+
+
+def _print_runs(runs: list[ServerRun]) -> None:
+    for run in runs:
+        after_ms = run.began_at_ms - runs[0].began_at_ms
+        outcome = "answered" if run.is_good else "failed"
+        took_ms = run.ended_at_ms - run.began_at_ms
+        print(f"{after_ms / 1000:9.3f} s  {outcome} in {took_ms} ms")
+
+
+def _log_lines(logs: list[Path]) -> Iterator[str]:
     for log in logs:
         with log.open(errors="replace") as lines:
-            yield from filter(None, map(parse_request_line, lines))
+            yield from lines
+
+
+def _request_lines(logs: list[Path]) -> Iterator[RequestLine]:
+    yield from filter(None, map(parse_request_line, _log_lines(logs)))
 
 
 def _burn_rates(answers: list[LevelsAnswer]) -> dict[str, dict[int, tuple]]:
--- a/src/cinderway/reports/__init__.py
+++ b/src/cinderway/reports/__init__.py
@@ -14,22 +14,36 @@
 from cinderway.reports._levels import WINDOWS_S, LevelCounter, burn_rate
 from cinderway.reports._losses import ServiceLosses, losses_of
 from cinderway.reports._request_line import RequestLine, parse_request_line
+from cinderway.reports._server_runs import (
+    GAPS_MS,
+    Followed,
+    ServerRun,
+    ServiceRuns,
+    parse_run,
+    runs_by_service,
+)
 
 __all__ = [
+    "GAPS_MS",
     "REPORT",
     "WINDOWS_S",
     "EjectionEvent",
     "EjectionsAnswer",
+    "Followed",
     "Happening",
     "LevelCounter",
     "LevelsAnswer",
     "ReadEjections",
     "ReadLevels",
     "RequestLine",
+    "ServerRun",
     "ServiceLevel",
     "ServiceLosses",
+    "ServiceRuns",
     "WindowCount",
     "burn_rate",
     "losses_of",
     "parse_request_line",
+    "parse_run",
+    "runs_by_service",
 ]
