--- a/tests/entry/test_catalog_board.py
+++ b/tests/entry/test_catalog_board.py
@@ -98,14 +98,14 @@
     def test_a_request_that_is_sent_counts_at_once_for_the_others(self):
         self.hear(a=0.5, b=2.0)
         server = self.servers["a"]
-        self.dispatcher._note_send(server, server.load_known_at_ms)
+        self.dispatcher.notes.send(server, server.load_known_at_ms)
         now_ms = server.load_known_at_ms
         told = self.state.take_loads(now_ms)
         self.assertEqual(told.servers, [ServerLoad("a", 0.75, in_flight=1)])
         self.assertEqual(self.state.take_loads(now_ms).servers, [])
 
     def test_nothing_is_made_up_of_servers_that_tell_no_load(self):
-        self.dispatcher._note_send(self.servers["a"], monotonic_ms())
+        self.dispatcher.notes.send(self.servers["a"], monotonic_ms())
         told = self.state.take_loads(monotonic_ms())
         self.assertEqual(told.servers, [ServerLoad("a", NO_LOAD, in_flight=1)])
         self.assertEqual(self.servers["a"].known_load, 0)
@@ -120,7 +120,7 @@
     def test_requests_under_way_here_count_although_the_replica_missed_them(self):
         server = self.servers["a"]
         for _ in range(2):
-            self.dispatcher._note_send(server, monotonic_ms())
+            self.dispatcher.notes.send(server, monotonic_ms())
         told = ServerLoads([ServerLoad("a", NO_LOAD, in_flight=1)])
         self.state.hear_fleet_loads(told, monotonic_ms())
         self.assertEqual(server.fleet_in_flight, 2)
@@ -129,7 +129,7 @@
         self.assertEqual((server.in_flight, server.fleet_in_flight), (0, 0))
 
     def test_the_next_replica_is_told_of_all_that_is_under_way(self):
-        self.dispatcher._note_send(self.servers["a"], monotonic_ms())
+        self.dispatcher.notes.send(self.servers["a"], monotonic_ms())
         self.state.take_loads(monotonic_ms())
         others = ServerLoads([ServerLoad("a", NO_LOAD, 4), ServerLoad("b", NO_LOAD, 4)])
         self.state.hear_fleet_loads(others, monotonic_ms())
