--- a/tests/entry/servers/test_pushback.py
+++ b/tests/entry/servers/test_pushback.py
@@ -19,11 +19,12 @@
 import anyio
 
 from cinderway._clock import monotonic_ms
-from cinderway._errors import CinderwayError
+from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import AttemptId, DataHall, EntryName
 from cinderway.entry._blackboard import Blackboard
 from cinderway.entry.servers._dispatch import Dispatcher
 from cinderway.entry.servers._messages import BackendRequest
+from cinderway.entry.servers._permit import UNLIMITED, Permit
 from cinderway.experiment._virtual_time import run_in_virtual_time
 from cinderway.judgement import EvidenceLog
 from cinderway.table import ServiceRow
@@ -38,6 +39,17 @@
 LEAVING = [(b"cinderway-drain", b"1")]
 
 
+class TakenAway(Permit):
+    """Leave to send a request until it is taken away."""
+
+    is_taken_away = False
+
+    def refusal(self):
+        if not self.is_taken_away:
+            return None
+        return CinderwayError(ErrorCode.ACCOUNT_UNKNOWN, "no such key", step=Step.QUEUE)
+
+
 class World:
     """One entry before a few servers of a service."""
 
@@ -56,7 +68,7 @@
         rows = {SERVICE: self.row}
         self.board.refresh_services(rows, lambda _: servers, monotonic_ms())
 
-    async def ask(self):
+    async def ask(self, permit=UNLIMITED):
         """Send one request; note its status, or the code of its error."""
         try:
             async with self.dispatcher.exchange(
@@ -66,6 +78,7 @@
                 monotonic_ms() + 2_000,
                 exclude=set(),
                 is_repeatable=False,
+                permit=permit,
             ) as exchange:
                 self.outcomes.append(exchange.answer.status)
         except CinderwayError as error:
@@ -96,7 +109,10 @@
             await world.ask_often(REST_MS)
             return world
 
-        self.assertEqual(run_in_virtual_time(play).sent_during_rest(), [])
+        world = run_in_virtual_time(play)
+        self.assertEqual(world.sent_during_rest(), [])
+        # It is not even chosen: the others go to the other server at once.
+        self.assertEqual(set(world.outcomes), {OK, ErrorCode.BACKEND_SHED})
 
     def test_a_request_that_waits_for_its_connection_hears_what_came_meanwhile(self):
         async def play():
@@ -112,6 +128,22 @@
 
         self.assertEqual(run_in_virtual_time(play).sent_during_rest(), [])
 
+    def test_what_may_no_longer_be_sent_at_all_is_not_written_either(self):
+        """A key was taken away, or servers ended under the same request meanwhile."""
+
+        async def play():
+            world = World(lambda name: (OK, []), connect_ms=600)
+            permit = TakenAway()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(world.ask, permit)
+                await anyio.sleep(0.3)
+                permit.is_taken_away = True
+            return world
+
+        world = run_in_virtual_time(play)
+        self.assertEqual(world.connections.arrivals, [])
+        self.assertEqual(world.outcomes, [ErrorCode.ACCOUNT_UNKNOWN])
+
 
 class LeavingTests(unittest.TestCase):
     def test_a_server_that_said_it_leaves_gets_nothing_after_it_was_listed_anew(self):
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -34,6 +34,7 @@
 ELECTIONS = "replication/_elections.py"
 MEMBER_CHANGES = "replication/_member_changes.py"
 CORE_TESTS = "tests.replication.test_core"
+PUSHBACK_TESTS = "tests.entry.servers.test_pushback"
 
 GUARDS = [
     Guard(
@@ -283,6 +284,34 @@
         "        if False:",
         "tests.wire.test_wire",
     ),
+    Guard(
+        "a server that asked for rest is not chosen",
+        "entry/servers/_holds.py",
+        "    return server.takes_work(now_ms) and not server.pushback.rests(now_ms)\n",
+        "    return server.takes_work(now_ms)\n",
+        PUSHBACK_TESTS,
+    ),
+    Guard(
+        "what a server asked for is looked at again before bytes are written",
+        "entry/servers/_dispatch.py",
+        "    return hold or permit.refusal()\n",
+        "    return permit.refusal()\n",
+        PUSHBACK_TESTS,
+    ),
+    Guard(
+        "what may no longer be sent is looked at again before bytes are written",
+        "entry/servers/_dispatch.py",
+        "    return hold or permit.refusal()\n",
+        "    return hold\n",
+        PUSHBACK_TESTS,
+    ),
+    Guard(
+        "what a server asked for outlives its listing",
+        "pushback/_book.py",
+        "        return self._servers.get(server) or ServerPushback()\n",
+        "        return ServerPushback()\n",
+        PUSHBACK_TESTS,
+    ),
 ]
 
 
