--- a/src/cinderway/entry/fleet/_catalog_reports.py
+++ b/src/cinderway/entry/fleet/_catalog_reports.py
@@ -2,6 +2,8 @@
 
 import logging
 from collections import Counter
+from collections.abc import Callable
+from functools import partial
 
 import anyio
 import msgspec
@@ -12,7 +14,7 @@
 from cinderway.catalog import EvidenceBatch
 from cinderway.entry._catalog_board import CatalogBoard
 from cinderway.judgement import EvidenceLog, evidence_from
-from cinderway.wire import Connection
+from cinderway.wire import Connection, Message
 
 logger = logging.getLogger(__name__)
 
@@ -68,12 +70,8 @@
         """Tell the hall how full servers are, whenever that changes."""
         while True:
             await self._state.loads_changed.wait()
-            try:
-                with anyio.fail_after(REPORT_PAUSE_S):
-                    await connection.send(self._state.take_loads(monotonic_ms()))
-            except (CinderwayError, TimeoutError) as error:
-                logger.info("loads of servers were not told: %s", str(error) or "slow")
-                await connection.aclose()
+            told = self._state.take_loads(monotonic_ms())
+            await _tell(connection, told, "loads of servers")
             await anyio.sleep(LOAD_PAUSE_S)
 
     async def send_turned_away(self, connection: Connection) -> None:
@@ -81,12 +79,7 @@
         while True:
             await self._state.turned_away.wait()
             told = self._state.take_turned_away(monotonic_ms())
-            try:
-                with anyio.fail_after(REPORT_PAUSE_S):
-                    await connection.send(told)
-            except (CinderwayError, TimeoutError) as error:
-                logger.info("sheds were not told: %s", str(error) or "slow")
-                await connection.aclose()
+            await _tell(connection, told, "servers that turn requests away")
             await anyio.sleep(LOAD_PAUSE_S)
 
     async def send_runs(self, connection: Connection) -> None:
@@ -95,13 +88,8 @@
         while True:
             await watch.has_news.wait()
             runs = watch.take_runs()
-            try:
-                with anyio.fail_after(REPORT_PAUSE_S):
-                    await connection.send(runs)
-            except (CinderwayError, TimeoutError) as error:
-                watch.put_back(runs)
-                logger.info("ends of servers were not told: %s", str(error) or "slow")
-                await connection.aclose()
+            put_back = partial(watch.put_back, runs)
+            await _tell(connection, runs, "ends of servers", put_back)
             await anyio.sleep(LOAD_PAUSE_S)
 
     async def _send_batch(self, connection: Connection, counts: dict) -> None:
@@ -117,9 +105,25 @@
             list(first),
             list(first.values()),
         )
-        try:
-            with anyio.fail_after(REPORT_PAUSE_S):
-                await connection.send(batch)
-        except (CinderwayError, TimeoutError) as error:
-            logger.info("observations of %d servers lost: %s", len(found), error)
-            await connection.aclose()
+        await _tell(connection, batch, f"observations of {len(found)} servers")
+
+
+async def _tell(
+    connection: Connection,
+    message: Message,
+    what: str,
+    put_back: Callable[[], None] | None = None,
+) -> None:
+    """Send a message in time, or give the connection up.
+
+    `put_back` keeps what was not sent. It is called first: the caller may be cancelled
+    as soon as the connection is closed.
+    """
+    try:
+        with anyio.fail_after(REPORT_PAUSE_S):
+            await connection.send(message)
+    except (CinderwayError, TimeoutError) as error:
+        if put_back is not None:
+            put_back()
+        logger.info("%s were not told: %s", what, str(error) or "slow")
+        await connection.aclose()
