--- a/standins/backend.py
+++ b/standins/backend.py
@@ -37,6 +37,8 @@
     mute: bool = False
     drain: bool = False
     weak_etag: bool = False
+    # Turns all requests away, and asks for so many seconds of rest.
+    rest_s: int = 0
     from_names: list[str] = field(default_factory=list)
 
 
@@ -77,9 +79,12 @@
             await self._work(request, receive, send)
 
     async def _work(self, request, receive, send):
-        if self.waiting >= self.queue and self.in_use >= self.slots:
+        is_full = self.waiting >= self.queue and self.in_use >= self.slots
+        rest_s = self.faults.rest_s
+        if is_full or rest_s:
             self.shed += 1
-            headers = [(b"cinderway-outcome", b"not_run"), (b"retry-after", b"1")]
+            rest = b"%d" % (rest_s or 1)
+            headers = [(b"cinderway-outcome", b"not_run"), (b"retry-after", rest)]
             await self._answer(send, 503, b"no slot", headers)
             return
         self.waiting += 1
--- a/tests/system/test_requests.py
+++ b/tests/system/test_requests.py
@@ -171,6 +171,17 @@
         )
         self.assertNotIn("lookup-1", self.servers_of(60))
 
+    def test_a_server_that_asks_for_rest_gets_one_request_of_each_entry(self):
+        self.fleet.fault("readings-1", rest_s=30)
+        shed_before = self.fleet.counts("readings-1")["shed"]
+        for number in range(18):
+            entry = self.fleet.entries[number % len(self.fleet.entries)]
+            fields = {"Idempotency-Key": f"rest-{number}", "X-Caller": "ana"}
+            status, _, _ = request(entry, "POST", "/readings/m", b"42", fields)
+            self.assertEqual(status, 200)
+        shed = self.fleet.counts("readings-1")["shed"] - shed_before
+        self.assertLessEqual(shed, len(self.fleet.entries))
+
     def servers_of(self, count):
         """Return who answers `count` lookups spread over all entries."""
         entries = self.fleet.entries * (count // len(self.fleet.entries))
