--- a/src/cinderway/experiment/_run.py
+++ b/src/cinderway/experiment/_run.py
@@ -3,6 +3,7 @@
 import logging
 import random
 from dataclasses import dataclass, field
+from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
@@ -183,26 +184,22 @@
                 await anyio.sleep(fault.for_ms / 1000)
                 self.surge = 1.0
             case FaultKind.DARK_SERVERS:
-                struck = self._struck_servers(fault)
-                for server in struck:
-                    server.is_dark = True
-                await anyio.sleep(fault.for_ms / 1000)
-                for server in struck:
-                    server.is_dark = False
+                await self._change_servers(fault, "is_dark", True, False)
             case FaultKind.BUSY_SERVERS:
-                struck = self._struck_servers(fault)
-                for server in struck:
-                    server.busy_share = fault.factor
-                await anyio.sleep(fault.for_ms / 1000)
-                for server in struck:
-                    server.busy_share = 0.0
+                await self._change_servers(fault, "busy_share", fault.factor, 0.0)
             case FaultKind.SLOW_SERVERS:
-                struck = self._struck_servers(fault)
-                for server in struck:
-                    server.slowed = fault.factor
-                await anyio.sleep(fault.for_ms / 1000)
-                for server in struck:
-                    server.slowed = 1.0
+                await self._change_servers(fault, "slowed", fault.factor, 1.0)
+
+    async def _change_servers(
+        self, fault: Fault, name: str, during: Any, after: Any
+    ) -> None:
+        """Give a field of the servers that a fault strikes another value for a while."""
+        struck = self._struck_servers(fault)
+        for server in struck:
+            setattr(server, name, during)
+        await anyio.sleep(fault.for_ms / 1000)
+        for server in struck:
+            setattr(server, name, after)
 
     def _struck_servers(self, fault: Fault) -> list[ModelServer]:
         fitting = [
--- a/tests/entry/servers/_model_servers.py
+++ b/tests/entry/servers/_model_servers.py
@@ -6,6 +6,7 @@
 import anyio
 
 from cinderway._clock import monotonic_ms
+from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import Address, DataHall, ServerName, ServiceName
 from cinderway.entry.servers._messages import (
     NOT_RUN,
@@ -13,6 +14,7 @@
     BackendAnswer,
     Headers,
 )
+from cinderway.entry.servers._permit import Permit
 from cinderway.table import ServerRow
 
 ANSWERS_AFTER_S = 0.005
@@ -80,3 +82,14 @@
     def arrivals_at(self, name: str) -> list[int]:
         """Return when requests came to one server."""
         return [at_ms for server, at_ms in self.arrivals if server == name]
+
+
+class TakenAway(Permit):
+    """Leave to send a request until it is taken away."""
+
+    is_taken_away = False
+
+    def refusal(self):
+        if not self.is_taken_away:
+            return None
+        return CinderwayError(ErrorCode.ACCOUNT_UNKNOWN, "no such key", step=Step.QUEUE)
--- a/tests/entry/servers/test_dispatch.py
+++ b/tests/entry/servers/test_dispatch.py
@@ -19,6 +19,8 @@
 from cinderway.routing import Penalties
 from cinderway.table import ServerRow, ServiceRow
 
+from ._model_servers import TakenAway
+
 SUVA, NADI = DataHall("suva"), DataHall("nadi")
 
 
@@ -55,17 +57,6 @@
         self.broken.append(server)
 
 
-class TakenAway(Permit):
-    """Leave to send a request until its key is taken away."""
-
-    is_taken_away = False
-
-    def refusal(self):
-        if not self.is_taken_away:
-            return None
-        return CinderwayError(ErrorCode.ACCOUNT_UNKNOWN, "no such key", step=Step.QUEUE)
-
-
 def server(name, hall):
     return ServerRow(
         name=ServerName(name),
--- a/tests/entry/servers/test_pushback.py
+++ b/tests/entry/servers/test_pushback.py
@@ -19,17 +19,24 @@
 import anyio
 
 from cinderway._clock import monotonic_ms
-from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._errors import CinderwayError, ErrorCode
 from cinderway._ids import AttemptId, DataHall, EntryName
 from cinderway.entry._blackboard import Blackboard
 from cinderway.entry.servers._dispatch import Dispatcher
 from cinderway.entry.servers._messages import BackendRequest
-from cinderway.entry.servers._permit import UNLIMITED, Permit
+from cinderway.entry.servers._permit import UNLIMITED
 from cinderway.experiment._virtual_time import run_in_virtual_time
 from cinderway.judgement import EvidenceLog
 from cinderway.table import ServiceRow
 
-from ._model_servers import OK, SERVICE, ModelServers, server_row, turned_away
+from ._model_servers import (
+    OK,
+    SERVICE,
+    ModelServers,
+    TakenAway,
+    server_row,
+    turned_away,
+)
 
 SUVA = DataHall("suva")
 REST_MS = 3_000
@@ -39,17 +46,6 @@
 LEAVING = [(b"cinderway-drain", b"1")]
 
 
-class TakenAway(Permit):
-    """Leave to send a request until it is taken away."""
-
-    is_taken_away = False
-
-    def refusal(self):
-        if not self.is_taken_away:
-            return None
-        return CinderwayError(ErrorCode.ACCOUNT_UNKNOWN, "no such key", step=Step.QUEUE)
-
-
 class World:
     """One entry before a few servers of a service."""
 
