--- a/src/cinderway/experiment/_run.py
+++ b/src/cinderway/experiment/_run.py
@@ -193,7 +193,7 @@
     async def _change_servers(
         self, fault: Fault, name: str, during: Any, after: Any
     ) -> None:
-        """Give a field of the servers that a fault strikes another value for a while."""
+        """Give a field of the servers that a fault strikes another value."""
         struck = self._struck_servers(fault)
         for server in struck:
             setattr(server, name, during)
