pushback: a word of leaving is believed for an hour, not for ever

Cause: found by reading: the catalog forgets the names of 4,096 starts that are over and may give a name again; the later start would have got no work of entries that remember the earlier one's word. Change: one hour after it was last said.

--- a/src/cinderway/pushback/__init__.py
+++ b/src/cinderway/pushback/__init__.py
@@ -5,7 +5,12 @@
 Both are words about the server and not about a request, and hold for one start of it.
 """
 
-from cinderway.pushback._book import PUSHBACK_KEPT_LIMIT, PushbackBook, ServerPushback
+from cinderway.pushback._book import (
+    LEAVING_VALID_MS,
+    PUSHBACK_KEPT_LIMIT,
+    PushbackBook,
+    ServerPushback,
+)
 from cinderway.pushback._words import (
     NO_WORDS,
     REST_LIMIT_MS,
@@ -16,6 +21,7 @@
 )
 
 __all__ = [
+    "LEAVING_VALID_MS",
     "NO_WORDS",
     "PUSHBACK_KEPT_LIMIT",
     "REST_LIMIT_MS",
--- a/src/cinderway/pushback/_book.py
+++ b/src/cinderway/pushback/_book.py
@@ -4,7 +4,6 @@
 written, since the word may have come in between.
 """
 
-import math
 from dataclasses import dataclass, field
 
 from cinderway._ids import ServerName
@@ -13,6 +12,9 @@
 # Servers that asked for something; the ones that spoke longest ago go first. A tenth of
 # the 11,000 servers of the largest fleet that is planned, several times.
 PUSHBACK_KEPT_LIMIT = 4_096
+# Longer than any server takes to leave. Not for ever: the catalog forgets the names of
+# starts that are long over, and a later start that got such a name would never get work.
+LEAVING_VALID_MS = 3_600_000
 
 
 @dataclass
@@ -24,7 +26,7 @@
 
     rests_until_ms: int = 0
     rested_ms: int = 0
-    leaves_until_ms: float = 0
+    leaves_until_ms: int = 0
 
     def rests(self, now_ms: int) -> bool:
         """Whether it wants nothing from this entry now."""
@@ -42,7 +44,7 @@
         self.rested_ms = rest_ms
         self.rests_until_ms = max(self.rests_until_ms, now_ms + rest_ms)
 
-    def leave(self, until_ms: float) -> None:
+    def leave(self, until_ms: int) -> None:
         """Take over that it leaves; this is to be believed until then."""
         self.leaves_until_ms = max(self.leaves_until_ms, until_ms)
 
@@ -51,11 +53,11 @@
 class PushbackBook:
     """Keeps what servers asked for, also while they are not listed.
 
-    `leaving_valid_ms` is how long a word of leaving holds: for good where a server's
-    name stands for one start of it, for a while where names outlive starts.
+    `leaving_valid_ms` is how long a word of leaving holds, counted from the last time
+    that it was said: shorter where the names of servers outlive their starts.
     """
 
-    leaving_valid_ms: float = math.inf
+    leaving_valid_ms: int = LEAVING_VALID_MS
     _servers: dict[ServerName, ServerPushback] = field(default_factory=dict)
 
     def of(self, server: ServerName) -> ServerPushback:
