--- a/src/cinderway/pushback/__init__.py
+++ b/src/cinderway/pushback/__init__.py
@@ -1,4 +1,4 @@
-"""What backend servers ask of an entry: rest for a while, or nothing more for good.
+"""What backend servers ask of an entry: rest for a while, or nothing more.
 
 The field's term is pushback. A server that turns a request away may say for how long it
 wants nothing from the entry that it answers; one that leaves may say so in any answer.
--- a/src/cinderway/pushback/_book.py
+++ b/src/cinderway/pushback/_book.py
@@ -13,7 +13,7 @@
 # the 11,000 servers of the largest fleet that is planned, several times.
 PUSHBACK_KEPT_LIMIT = 4_096
 # Longer than any server takes to leave. Not for ever: the catalog forgets the names of
-# starts that are long over, and a later start that got such a name would never get work.
+# starts that are long over, and a later start that gets one again must get work.
 LEAVING_VALID_MS = 3_600_000
 
 
