entry: the hall is told once of a server that turns many requests away

Cause: found by reading: each shed was told to the replica, up to 100 times a second by each entry; under overload that grows with the requests that are turned away.

--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -27,7 +27,14 @@
 )
 from cinderway.entry._blackboard import Blackboard, ServerState
 from cinderway.entry._poison_watch import PoisonWatch
-from cinderway.judgement import FADES_MS, Bad, EvidenceLog, Pace, Suspicions
+from cinderway.judgement import (
+    FADES_MS,
+    UNDER_WAY_MS,
+    Bad,
+    EvidenceLog,
+    Pace,
+    Suspicions,
+)
 from cinderway.limits import RetryBudget
 from cinderway.poison import RequestRulings, RequestRuns
 from cinderway.table import ServerRow, ServerState as ListedState, ServiceRow
@@ -152,8 +159,13 @@
         place of 24.1% if they ask for none (experiment "servers ask for rest", 2
         seeds). No longer than this, whatever rest it asked this entry for: what it told
         one is a hint to others, and one that asks everybody for an hour stays in use.
+        Where the hall has just heard of it nothing is told: under overload the tellings
+        grow with the servers, not with the requests that they turn away.
         """
+        state = self._state_of(server)
         until_ms = monotonic_ms() + FADES_MS
+        if state is None or until_ms < state.suspect_until_ms + UNDER_WAY_MS:
+            return
         self.suspect(server, until_ms)
         self._new_suspects[server] = self._turned_away[server] = until_ms
         self.turned_away.set()
--- a/src/cinderway/judgement/__init__.py
+++ b/src/cinderway/judgement/__init__.py
@@ -29,7 +29,12 @@
 from cinderway.judgement._judge import DRAIN_VALID_MS, ServiceJudge
 from cinderway.judgement._merge import Agreed, HeldSheet, merge_sheets, service_norms
 from cinderway.judgement._record import ServerRecord, is_out
-from cinderway.judgement._suspicion import FADES_MS, Suspicions, suspicion_left
+from cinderway.judgement._suspicion import (
+    FADES_MS,
+    UNDER_WAY_MS,
+    Suspicions,
+    suspicion_left,
+)
 
 __all__ = [
     "DRAIN_VALID_MS",
@@ -56,6 +61,7 @@
     "ServiceNormal",
     "Standing",
     "Suspicions",
+    "UNDER_WAY_MS",
     "VerdictSheet",
     "assessors_of",
     "evidence_from",
--- a/tests/entry/test_catalog_board.py
+++ b/tests/entry/test_catalog_board.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 
-from cinderway._clock import monotonic_ms
+from cinderway._clock import monotonic_ms, monotonic_source
 from cinderway._ids import Address, DataHall, EntryName, ServerName, ServiceName
 from cinderway.catalog import (
     NO_LOAD,
@@ -16,6 +16,7 @@
     ServerLoad,
     ServerLoads,
     ServerStatus,
+    SuspectServers,
     encode_command,
 )
 from cinderway.entry._blackboard import Blackboard
@@ -24,7 +25,7 @@
 from cinderway.entry.servers._dispatch import Dispatcher
 from cinderway.entry.servers._permit import UNLIMITED
 from cinderway.entry.servers._slots import WantedSlot
-from cinderway.judgement import EvidenceLog
+from cinderway.judgement import FADES_MS, UNDER_WAY_MS, EvidenceLog
 from cinderway.routing import USUAL_PENALTIES, Penalties
 
 SERVICE = ServiceName("lookup")
@@ -143,6 +144,39 @@
         self.assertEqual(self.servers["a"].known_load, 0.5)
 
 
+class TurnedAwayTests(unittest.TestCase):
+    """Under overload servers turn requests away all the time, at each entry."""
+
+    def setUp(self):
+        # Time stands still.
+        self.enterContext(monotonic_source(lambda: 1_000_000_000_000))
+        board = Blackboard(EntryName("e1"), SUVA, random.Random(1))
+        self.state = CatalogBoard(board, EvidenceLog(), lone_retry_percent=5)
+        self.state.install(catalog(["a", "b"]).update_since(0), now_ms=0)
+
+    def told(self):
+        return self.state.take_turned_away(monotonic_ms()).servers
+
+    def test_the_hall_is_told_once_of_a_server_that_turns_many_away(self):
+        for _ in range(50):
+            self.state.board.on_turned_away(ServerName("a"))
+        self.assertEqual(self.told(), ["a"])
+        self.state.board.on_turned_away(ServerName("a"))
+        self.assertEqual(self.told(), [])
+        self.assertFalse(self.state.turned_away.is_set())
+
+    def test_what_another_entry_has_just_told_is_not_told_again(self):
+        self.state.hear(SuspectServers(["a"], [FADES_MS]), monotonic_ms())
+        self.state.board.on_turned_away(ServerName("a"))
+        self.assertEqual(self.told(), [])
+
+    def test_after_a_while_it_is(self):
+        left_ms = FADES_MS - UNDER_WAY_MS
+        self.state.hear(SuspectServers(["a"], [left_ms]), monotonic_ms())
+        self.state.board.on_turned_away(ServerName("a"))
+        self.assertEqual(self.told(), ["a"])
+
+
 class LoadsChangedTests(unittest.TestCase):
     def test_who_waits_for_loads_is_woken_though_others_took_none_meanwhile(self):
         board = Blackboard(EntryName("e1"), SUVA, random.Random(1))
