pushback: read the rate that a server names, and log it; nothing acts on it yet

Change: words_of reads the header that limit_header names (the lowest of several; unreadable ones are told apart); each is logged with the request's id. No decision reads it.

--- a/src/cinderway/_settings/_catalog_roles.py
+++ b/src/cinderway/_settings/_catalog_roles.py
@@ -166,6 +166,11 @@
         "Header in any answer by which a server says that it leaves.",
         "cinderway-drain",
     )
+    limit_header: bytes = header_field(
+        "Header in any answer by which a server names how many requests a second it "
+        "takes from all entries together.",
+        "cinderway-rate-limit",
+    )
     seal_header: bytes = header_field(
         "Header that every successful answer of a server carries, if any.", ""
     )
--- a/src/cinderway/entry/_catalog_daemon.py
+++ b/src/cinderway/entry/_catalog_daemon.py
@@ -95,6 +95,7 @@
         deadline=settings.deadline_header,
         load=settings.load_header,
         leaving=settings.leaving_header,
+        limit=settings.limit_header,
         expected=settings.expected_header,
         not_run=settings.not_run_header,
         seal=settings.seal_header,
--- a/src/cinderway/entry/servers/_messages.py
+++ b/src/cinderway/entry/servers/_messages.py
@@ -18,6 +18,7 @@
 OUTCOME_HEADER = b"cinderway-outcome"
 LOAD_HEADER = b"cinderway-load"
 LEAVING_HEADER = b"cinderway-drain"
+LIMIT_HEADER = b"cinderway-rate-limit"
 NOT_RUN = b"not_run"
 MISDIRECTED = 421
 OK = 200
@@ -43,6 +44,7 @@
     deadline: bytes = DEADLINE_HEADER
     load: bytes = LOAD_HEADER
     leaving: bytes = LEAVING_HEADER
+    limit: bytes = LIMIT_HEADER
     expected: bytes = b""
     not_run: bytes = b""
     seal: bytes = b""
@@ -99,6 +101,7 @@
             self.headers,
             is_shed=self.is_shed,
             leaving_header=self.names.leaving,
+            limit_header=self.names.limit,
             wall_clock_ms=wall_clock_ms,
         )
 
--- a/src/cinderway/entry/servers/_notes.py
+++ b/src/cinderway/entry/servers/_notes.py
@@ -103,6 +103,10 @@
         server = sending.server
         if words.is_leaving and not server.pushback.leaves(now_ms):
             logger.info("%s says that it leaves", sending)
+        if words.names_limit:
+            limit = words.rate_limit_per_s
+            told = "unreadable" if limit is None else f"{limit:g} requests/s"
+            logger.info("%s names its limit to this entry: %s", sending, told)
         if words.rest_ms is not None:
             labels = {"service": sending.service.row.name}
             self.metrics.count("rests_total", labels)
--- a/src/cinderway/pushback/_words.py
+++ b/src/cinderway/pushback/_words.py
@@ -17,6 +17,8 @@
 REST_LIMIT_MS = 600_000
 # Twelve digits and three after the point say more than any limit.
 SECONDS = re.compile(rb"(\d{1,12})(\.\d{0,9})?|(\.\d{1,9})")
+# A decimal number, with an exponent if need be.
+RATE = re.compile(rb"(\d{1,12}(\.\d{0,9})?|\.\d{1,9})([eE][+-]?\d{1,2})?")
 RETRY_AFTER = b"retry-after"
 DATE = b"date"
 NO = b"0"
@@ -26,10 +28,17 @@
 
 @dataclass(frozen=True)
 class ServerWords:
-    """What a server said of itself: `rest_ms` is None where it asked for no rest."""
+    """What a server said of itself: `rest_ms` is None where it asked for no rest.
+
+    `rate_limit_per_s` is how many requests a second it takes from all entries together,
+    None where it names no such limit, or none that can be read; `names_limit` tells
+    these apart.
+    """
 
     rest_ms: int | None = None
     is_leaving: bool = False
+    rate_limit_per_s: float | None = None
+    names_limit: bool = False
 
 
 NO_WORDS = ServerWords()
@@ -41,16 +50,18 @@
     *,
     is_shed: bool,
     leaving_header: bytes,
+    limit_header: bytes,
     wall_clock_ms: int,
 ) -> ServerWords:
     """Return what an answer's head says of its server.
 
     `is_shed` says that the server did not run the request. A 429 asks for rest only
     then: any other is about the caller. Of several waits the longest counts; one that
-    cannot be read counts as none.
+    cannot be read counts as none. Of several rate limits the lowest counts.
     """
     rest_ms, is_leaving, date_ms = None, False, wall_clock_ms
     waits: list[bytes] = []
+    limits: list[bytes] = []
     for name, value in headers:
         lower = name.lower()
         if lower == RETRY_AFTER:
@@ -60,10 +71,14 @@
             date_ms = _date_ms(value) or wall_clock_ms
         elif lower == leaving_header:
             is_leaving = value.strip() != NO
+        elif lower == limit_header:
+            limits.append(value)
     asks = status == UNAVAILABLE or (status == TOO_MANY_REQUESTS and is_shed)
     if asks:
         rest_ms = _longest_ms(waits, date_ms)
-    return ServerWords(rest_ms, is_leaving) if rest_ms or is_leaving else NO_WORDS
+    if not (rest_ms or is_leaving or limits):
+        return NO_WORDS
+    return ServerWords(rest_ms, is_leaving, _lowest_per_s(limits), bool(limits))
 
 
 def _longest_ms(waits: list[bytes], date_ms: int) -> int | None:
@@ -71,6 +86,11 @@
     return min(max(found, default=0), REST_LIMIT_MS) or None
 
 
+def _lowest_per_s(limits: list[bytes]) -> float | None:
+    texts = [text.strip() for text in limits]
+    return min((float(t) for t in texts if RATE.fullmatch(t)), default=None)
+
+
 def _wait_ms(text: bytes, date_ms: int) -> int:
     """Return one wait, 0 where there is none to read."""
     if SECONDS.fullmatch(text):
--- a/tests/pushback/test_words.py
+++ b/tests/pushback/test_words.py
@@ -9,6 +9,7 @@
 NOW_MS = 1_700_000_000_000
 NOW = b"Tue, 14 Nov 2023 22:13:20 GMT"
 LEAVING = b"server-leaving"
+LIMIT = b"server-limit"
 
 
 def words(*headers, status=503, is_shed=True):
@@ -17,6 +18,7 @@
         headers,
         is_shed=is_shed,
         leaving_header=LEAVING,
+        limit_header=LIMIT,
         wall_clock_ms=NOW_MS,
     )
 
@@ -85,3 +87,36 @@
 
     def test_an_answer_without_either_says_nothing(self):
         self.assertIs(words((b"content-type", b"text/plain"), status=200), NO_WORDS)
+
+
+def limit_of(*texts, **how):
+    return words(*((b"Server-Limit", text) for text in texts), **how)
+
+
+class LimitTests(unittest.TestCase):
+    def test_any_answer_may_name_a_limit(self):
+        for status in (200, 206, 404, 421, 500, 503):
+            with self.subTest(status):
+                found = limit_of(b"1.9", status=status, is_shed=False)
+                self.assertEqual(found.rate_limit_per_s, 1.9)
+
+    def test_limits_are_read_whole_with_fractions_and_exponents(self):
+        read = {b"2": 2.0, b" .4 ": 0.4, b"0": 0.0, b"1e9": 1e9, b"5.": 5.0}
+        for text, expected_per_s in read.items():
+            with self.subTest(text):
+                self.assertEqual(limit_of(text).rate_limit_per_s, expected_per_s)
+
+    def test_one_that_cannot_be_read_is_told_apart_from_none(self):
+        for text in (b"", b"-2", b"NaN", b"inf", b"1,9", b"soon", b"1e999", b"\xff"):
+            with self.subTest(text):
+                found = limit_of(text)
+                self.assertIsNone(found.rate_limit_per_s)
+                self.assertTrue(found.names_limit)
+
+    def test_of_several_the_lowest_counts(self):
+        self.assertEqual(limit_of(b"3", b"1.5", b"soon").rate_limit_per_s, 1.5)
+
+    @given(st.binary(max_size=40))
+    def test_any_bytes_give_a_finite_rate_or_none(self, text):
+        rate_per_s = limit_of(text).rate_limit_per_s
+        self.assertTrue(rate_per_s is None or 0 <= rate_per_s < float("inf"))
