--- a/src/cinderway/experiment/_declaration.py
+++ b/src/cinderway/experiment/_declaration.py
@@ -108,6 +108,8 @@
     SLOW_SERVERS = "slow-servers"
     # Servers turn `factor` of their requests away, and ask for rest.
     BUSY_SERVERS = "busy-servers"
+    # Servers name a limit of `factor` requests a second from all entries together.
+    LIMITED_SERVERS = "limited-servers"
     # Callers send `factor` times as many requests.
     SURGE = "surge"
 
--- a/src/cinderway/experiment/_run.py
+++ b/src/cinderway/experiment/_run.py
@@ -30,6 +30,28 @@
 START_S = 0.4
 
 
+@dataclass(frozen=True)
+class LimitedServer:
+    """What came to a server that named a limit, and the last one that it named.
+
+    Times count from when callers began to come.
+    """
+
+    limit_per_s: float
+    named_at_ms: int
+    arrivals_ms: list[int]
+
+    def most_in(self, window_ms: int, from_ms: int) -> int:
+        """Return the most requests that came in any window from a time on."""
+        times_ms = [at_ms for at_ms in self.arrivals_ms if at_ms >= from_ms]
+        most, first = 0, 0
+        for last, at_ms in enumerate(times_ms):
+            while times_ms[first] <= at_ms - window_ms:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
+
 @dataclass
 class Played:
     """What an experiment showed, from the moment at which callers began to come."""
@@ -47,6 +69,8 @@
     server_ends_ms: list[int] = field(default_factory=list)
     # The answers to poison requests.
     poison_results: list[Result] = field(default_factory=list)
+    # The servers that named a limit.
+    limited_servers: list[LimitedServer] = field(default_factory=list)
 
 
 def play(experiment: Experiment, seed: int) -> Played:
@@ -90,6 +114,15 @@
                 self.played.far_bytes += entry.connections.far_bytes
         self.played.arrivals = sum(server.arrivals for server in self.servers)
         self.played.turned_away = sum(server.turned_away for server in self.servers)
+        self.played.limited_servers = [
+            LimitedServer(
+                server.limit_named_per_s,
+                server.limit_named_at_ms - self.played.began_at_ms,
+                [at_ms - self.played.began_at_ms for at_ms in server.arrivals_ms],
+            )
+            for server in self.servers
+            if server.limit_named_per_s is not None
+        ]
         self.played.poison_arrivals_ms = self._in_order("poison_arrivals_ms")
         self.played.server_ends_ms = self._in_order("ended_at_ms")
         return self.played
@@ -187,6 +220,8 @@
                 await self._change_servers(fault, "is_dark", True, False)
             case FaultKind.BUSY_SERVERS:
                 await self._change_servers(fault, "busy_share", fault.factor, 0.0)
+            case FaultKind.LIMITED_SERVERS:
+                await self._change_servers(fault, "limit_per_s", fault.factor, None)
             case FaultKind.SLOW_SERVERS:
                 await self._change_servers(fault, "slowed", fault.factor, 1.0)
 
--- a/src/cinderway/experiment/_servers.py
+++ b/src/cinderway/experiment/_servers.py
@@ -10,7 +10,12 @@
 
 from cinderway._clock import monotonic_ms
 from cinderway._ids import Address, DataHall, ServerName
-from cinderway.entry.servers._messages import LOAD_HEADER, NOT_RUN, OUTCOME_HEADER
+from cinderway.entry.servers._messages import (
+    LIMIT_HEADER,
+    LOAD_HEADER,
+    NOT_RUN,
+    OUTCOME_HEADER,
+)
 from cinderway.experiment._declaration import (
     BurstFailure,
     ModelService,
@@ -63,6 +68,12 @@
     is_dark: bool = False
     # Of its requests, what it turns away though it has room.
     busy_share: float = 0.0
+    # What it names in its answers now.
+    limit_per_s: float | None = None
+    # The last limit that it named, and since when it has named any.
+    limit_named_per_s: float | None = None
+    limit_named_at_ms: int = 0
+    arrivals_ms: list[int] = field(default_factory=list)
     arrivals: int = 0
     turned_away: int = 0
     ended_at_ms: list[int] = field(default_factory=list)
@@ -119,7 +130,7 @@
     ) -> ServerAnswer:
         if poison is None:
             return await self.answer(deadline_ms)
-        self.arrivals += 1
+        self._note_arrival()
         self.poison_arrivals_ms.append(monotonic_ms())
         if not await self._take_slot(deadline_ms):
             return self._turned_away()
@@ -141,7 +152,7 @@
 
         Raises RunBrokenError if the server resets the connection in a burst.
         """
-        self.arrivals += 1
+        self._note_arrival()
         failure = self._failure_now()
         if failure is BurstFailure.ERROR:
             await anyio.sleep(FAILS_AFTER_MS / 1000)
@@ -164,6 +175,10 @@
         is_error = self.rng.random() < self.service.error_share
         return self._answer(FAILED if is_error else OK)
 
+    def _note_arrival(self) -> None:
+        self.arrivals += 1
+        self.arrivals_ms.append(monotonic_ms())
+
     async def _take_slot(self, deadline_ms: int) -> bool:
         """Take a slot, after a while in the queue; False if there is none in time."""
         if self.running < self.service.slots:
@@ -227,4 +242,10 @@
 
     def _answer(self, status: int, *headers: tuple[bytes, bytes]) -> ServerAnswer:
         busy = f"{self.running},{len(self._waiting)},{self.service.slots}"
-        return ServerAnswer(status, [(LOAD_HEADER, busy.encode()), *headers])
+        told = [(LOAD_HEADER, busy.encode()), *headers]
+        if self.limit_per_s is not None:
+            if self.limit_named_per_s is None:
+                self.limit_named_at_ms = monotonic_ms()
+            self.limit_named_per_s = self.limit_per_s
+            told.append((LIMIT_HEADER, b"%f" % self.limit_per_s))
+        return ServerAnswer(status, told)
