--- a/src/cinderway/catalog/_packing.py
+++ b/src/cinderway/catalog/_packing.py
@@ -1,8 +1,8 @@
 """Sheets made small for the way: to replicas, onto their disks and to entries.
 
 A sheet is text that repeats itself, and the whole of it goes to every process with each
-change. 1,700 routes come to 24 KB in place of 134 KB, which keeps a link of 3 Mbit/s
-free for callers while changes come in quick succession.
+change. Packed, it leaves a narrow link to callers while changes come in quick
+succession.
 """
 
 import zlib
--- a/src/cinderway/control/_allowances.py
+++ b/src/cinderway/control/_allowances.py
@@ -52,8 +52,7 @@
 BORROW_TIMEOUT_S = 0.15
 # Where a replica's own entries leave less than this of its share and loans, it borrows.
 # What is lent out is no need of one's own: else all replicas borrow from each other
-# until none has a token left, and 13.7% of the requests were refused at 0.85 of a rate
-# of 4/s in place of none (`python -m bench allowances --callers 0.1`).
+# until none has a token left.
 SPARE_SHARE = 0.2
 # Loans that end sooner are renewed: two looks, and one that fails.
 RENEW_MS = 2_000
--- a/src/cinderway/control/_follower.py
+++ b/src/cinderway/control/_follower.py
@@ -21,8 +21,7 @@
 HEARTBEAT_S = 0.5
 SEND_TIMEOUT_S = 1.0
 # Changes of this time are sent together. Servers register one by one, and an entry
-# rebuilds what it knows with each update: 134 of them took a fifth of an entry's
-# processor time in its first 20 s.
+# rebuilds what it knows with each update.
 UPDATE_PAUSE_MS = 50
 
 
--- a/src/cinderway/control/_hall_news.py
+++ b/src/cinderway/control/_hall_news.py
@@ -36,17 +36,15 @@
 TELL_TIMEOUT_S = 0.3
 # News of this time is told together: well below the time of a request.
 NEWS_PAUSE_S = 0.02
-# Times that entries are told news in a second, all of them together. One costs a
-# replica about 0.1 ms of processor time: 0.12 of a core however many entries follow.
+# Times that entries are told news in a second, all of them together: it bounds what a
+# replica spends on that, however many entries follow.
 TELLINGS_PER_S = 1_200
 # The same where a server has just failed a request of the own hall: until the others
-# know, they send it more. Told as late as loads, 7.0% of the requests that run once
-# failed in place of 6.5% (experiment "a hall of many entries", 4 seeds).
+# know, they send it more.
 URGENT_TELLINGS_PER_S = 3_000
 # Requests cross halls where the own one has no server left to choose; what other halls
-# have under way at theirs is told at this pause. Without it 7.1% of the reads failed
-# in place of 4.2% (experiment "hanging servers under load", 3 seeds); at 0.1 s 3.6%,
-# for two and a half times the messages between halls.
+# have under way at theirs is told at this pause. Sooner would cost more messages
+# between halls than it saves requests.
 AFAR_PAUSE_S = 0.25
 # Between two looks whether the hall's entries have changed: many come at one moment.
 HALL_ENTRIES_PAUSE_S = 1.0
--- a/src/cinderway/control/_verdict_news.py
+++ b/src/cinderway/control/_verdict_news.py
@@ -8,8 +8,8 @@
 from cinderway._ids import DataHall, ServerName
 from cinderway.catalog import CATALOG, VerdictBatch
 
-# Shares of slow and recovering servers move all the time. Told at each look, ten times
-# a second, they cost an entry 5 ms of processor time a second at 20 lines a batch.
+# Shares of slow and recovering servers move all the time; told at each look they would
+# keep entries busy.
 SHARES_PAUSE_MS = 500
 
 
--- a/src/cinderway/entry/_blackboard.py
+++ b/src/cinderway/entry/_blackboard.py
@@ -55,9 +55,7 @@
         """How full it probably is, as a share of its slots; 0 if that is unknown.
 
         A server that hangs tells nothing, and its last load fades; what entries still
-        have under way there does not. By told loads alone 84.3% of the requests that
-        run once were answered in time in place of 89.0%, and 83.1% of the reads in
-        place of 85.9% (experiment "hanging servers under load", 3 and 4 seeds).
+        have under way there does not.
         """
         in_flight = self.fleet_in_flight / self.row.slots
         return max(self.told_load_at(now_ms), in_flight)
--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -155,11 +155,9 @@
         """Avoid a server that turns requests away, and let the hall avoid it.
 
         It has nothing to do and tells so: by its load alone it is everybody's first
-        choice. Where three in ten servers turn nine in ten requests away, 2.2% of the
-        requests are refused in place of 11.5% if they ask for 3 s of rest, and 2.2% in
-        place of 24.1% if they ask for none (experiment "servers ask for rest", 2
-        seeds). No longer than this, whatever rest it asked this entry for: what it told
-        one is a hint to others, and one that asks everybody for an hour stays in use.
+        choice, and requests are refused while others have room. No longer than this,
+        whatever rest it asked this entry for: what it told one is a hint to others, and
+        one that asks everybody for an hour stays in use.
         Where the hall has just heard of it nothing is told: under overload the tellings
         grow with the servers, not with the requests that they turn away.
         """
--- a/src/cinderway/entry/_poison_watch.py
+++ b/src/cinderway/entry/_poison_watch.py
@@ -53,8 +53,7 @@
     def may_be_repeated(self, digest: RequestDigest) -> bool:
         """Whether this entry may send a request that may have run once more.
 
-        One that may end servers costs one fewer: 3 in place of 4 (24 entries, one
-        repeat each half second, 2 seeds).
+        So one that may end servers costs one fewer of them.
         """
         standing = self.tally.standing_of(digest, monotonic_ms())
         return standing.is_sent and standing is not Standing.WATCHED
@@ -116,9 +115,8 @@
         answered_at_ms = self._answered_at_ms.get(ruling.digest)
         is_accused = ruling.standing in (Standing.WATCHED, Standing.REFUSED)
         if is_accused and answered_at_ms is not None:
-            # Reads that are asked for all the time are on each server that ends. With
-            # no good answer counted 70.9 and 70.0% of them were answered in time in
-            # place of 99.3 and 99.5% (three different reads, 24 entries, 2 seeds).
+            # Reads that are asked for all the time are on each server that ends: they
+            # would be refused with the request that ends it.
             if answered_at_ms >= ruling.since_ms:
                 self._tell_good(ruling.digest, monotonic_ms())
                 return
--- a/src/cinderway/entry/callers/_attempts.py
+++ b/src/cinderway/entry/callers/_attempts.py
@@ -111,8 +111,7 @@
             is_repeatable=is_repeatable,
             penalties=request.penalties,
             # A second try is for what a first one may have cost already: it is not
-            # turned away (hanging servers under load: 5.7% of the reads failed in
-            # place of 2.4%, one seed).
+            # turned away.
             objective_at_ms=None if request.tried else request.objective_at_ms,
             permit=request.permit,
         ) as exchange:
--- a/src/cinderway/entry/callers/_policies.py
+++ b/src/cinderway/entry/callers/_policies.py
@@ -12,18 +12,13 @@
 # a second or two, and a caller that is back by then still gets its answer in time.
 SHED_RETRY_AFTER_MINIMUM_S = 0.1
 SHED_RETRY_AFTER_SPREAD_S = 0.2
-# A repeatable request that fails goes to another server at once, but out of a budget:
-# with 1.5 for these 1.6% of them failed in place of 0.9%. For one that cannot be sent
-# again a failure is final, while waiting for a slot is not: a suspect server gets it
-# only where all others have long queues. With 2.0 for these 8.4% of them failed in
-# place of 7.0% (experiment "a hall of many entries", 4 seeds).
+# A repeatable request that fails goes to another server at once, but out of a budget.
+# For one that cannot be sent again a failure is final, while waiting for a slot is not:
+# a suspect server gets it only where all others have long queues.
 REPEATABLE_PENALTIES = Penalties(other_hall=0.7, suspect=3.0)
 ONCE_PENALTIES = Penalties(other_hall=0.7, suspect=5.0)
-# A large answer from another hall costs more than a long wait for one from the own:
-# with 2.0 for the hall and 1.5 for a suspect 8.6 MB came from other halls in 30 s, now
-# 4.7 MB, and 92.1% of the answers in time, now 91.3%. With 2.0 for a suspect those of a
-# hall whose few servers hang fail: 4.6% in place of 4.0% (experiment "hanging servers
-# under load", 4 and 6 seeds).
+# A large answer from another hall costs more than a long wait for one from the own. Not
+# at any price: those of a hall whose few servers hang would fail.
 DOWNLOAD_PENALTIES = Penalties(other_hall=4.0, suspect=3.0)
 
 
@@ -34,8 +29,6 @@
     tenths take long, as in a queue, still early enough for the second server's answer
     to come within the objective.
     """
-    # Without second tries 14.8% of all requests failed in place of 6.7% where servers
-    # hang in bursts (one simulated calm day).
     if not objective_ms:
         return pace.slow_ms
     latest_ms = max(objective_ms - pace.usual_ms, pace.usual_ms)
--- a/src/cinderway/entry/callers/_requests.py
+++ b/src/cinderway/entry/callers/_requests.py
@@ -29,8 +29,7 @@
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 KEY_HEADER = b"idempotency-key"
 AUTHORIZATION = b"authorization"
-# From here on a digest is made in another thread: one of 64 MB took 207 ms, in which
-# nothing else would run (one core, one run).
+# From here on a digest is made in another thread: nothing else would run meanwhile.
 LARGE_BODY_BYTES = 256 * 1024
 KEY_LIMIT_BYTES = 255
 # Servers that one request may reach where nothing else is said.
--- a/src/cinderway/entry/fleet/_catalog_follower.py
+++ b/src/cinderway/entry/fleet/_catalog_follower.py
@@ -57,9 +57,8 @@
 # Between two rounds through all replicas.
 RECONNECT_PAUSE_S = 0.1
 # A replica answers within a few milliseconds; on a busy link, or beside other work, in
-# some hundreds. One that is silent for longer is left soon after. Where leave took
-# 400 ms, 7.0% of the reads failed with 0.25 s for it, 1.0% with this (12 entries,
-# servers that fail in bursts, 3 seeds).
+# some hundreds: leave that comes late still saves the request. One that is silent for
+# longer is left soon after.
 RETRY_TIMEOUT_S = 1.0
 # Takes all verdicts back that are in force.
 NO_VERDICTS = VerdictBatch([], [])
@@ -256,9 +255,8 @@
     ) -> None:
         """Take what the replica tells; raise TimeoutError when it is silent.
 
-        Loads are told to a replica of the own hall, from when it is known to be one:
-        those that had not announced themselves yet were never told any, and 89.1% and
-        89.4% of the requests were served in place of 91.5% (one day, three plays).
+        Loads are told to a replica of the own hall, from when it is known to be one: it
+        may announce itself only after it is followed.
         """
         tells_loads = False
         # One scope whose deadline moves: one for each message costs as much as reading.
--- a/src/cinderway/entry/fleet/_control_sessions.py
+++ b/src/cinderway/entry/fleet/_control_sessions.py
@@ -21,9 +21,8 @@
 
 logger = logging.getLogger(__name__)
 
-# Each step of a connection. A link of 3 Mbit/s that carries downloads of 90 KB holds a
-# round trip up for a quarter of a second each; tries that were given up after half a
-# second for three round trips kept an entry without a replica for 2.8 s.
+# Each step of a connection. On a narrow link each download ahead holds a round trip up;
+# tries that are given up too soon keep an entry without a replica.
 STEP_TIMEOUT_S = 3.0
 # How long a replica is tried alone. On an idle link it answers within some 10 ms.
 STAGGER_S = 0.4
--- a/src/cinderway/entry/servers/_backends.py
+++ b/src/cinderway/entry/servers/_backends.py
@@ -209,8 +209,8 @@
         host, port = split_address(address)
         began_ms = monotonic_ms()
         try:
-            # A fixed 0.5 s made one in nine payments late where two of a service's
-            # twelve servers were dead (106 of 1,000 requests in 16 s met them).
+            # Learnt, since a fixed limit for the slowest link makes requests late that
+            # meet a dead server on a fast one.
             with anyio.fail_after(self.connect_limit.limit_ms / 1000):
                 stream = await anyio.connect_tcp(host.strip("[]"), port)
         except (OSError, TimeoutError) as error:
--- a/src/cinderway/judgement/_evidence.py
+++ b/src/cinderway/judgement/_evidence.py
@@ -40,8 +40,8 @@
 
 
 # What makes a server suspect at once. A slow answer does not: under load it says more
-# about the service than about the server. Without overdue requests 9.8% of all requests
-# failed in place of 6.7% where servers hang in bursts (one simulated calm day).
+# about the service than about the server. An overdue request does: a server that hangs
+# never answers with an error.
 ALARMS = frozenset({Bad.ERROR, Bad.UNREACHABLE, Bad.CUT, Bad.OVERDUE})
 
 
@@ -147,8 +147,7 @@
         if known is None or assumed is None:
             return known or assumed or UNKNOWN_PACE
         # While a service is full all its answers are slow. A server that hangs must
-        # still be found out while its requests have hope: without this bound it was
-        # after 850 ms of a route's 1,000, and 17 of 100 payments failed.
+        # still be found out while its requests have hope.
         return replace(known, late_ms=min(known.late_ms, assumed.late_ms))
 
     def late_after_ms(self, service: ServiceName) -> float:
--- a/src/cinderway/judgement/_suspicion.py
+++ b/src/cinderway/judgement/_suspicion.py
@@ -20,8 +20,7 @@
 # The bursts that the users' servers show last about three seconds.
 FADES_MS = 2_800
 # A server that is out of reach each time is avoided for twice as long, up to eight
-# times: one that is gone and never says so costs a hall a try in 22 s in place of one
-# in 2.8 s (two such servers met 106 of 1,000 requests in 16 s).
+# times: one that is gone and never says so costs the hall a try each time.
 UNREACHED_DOUBLINGS = 3
 # Requests that were under way when a server became suspect end within about this time.
 UNDER_WAY_MS = 400
--- a/src/cinderway/limits/_allowance_lease.py
+++ b/src/cinderway/limits/_allowance_lease.py
@@ -9,9 +9,8 @@
 
 from cinderway.limits._allowance_pool import TokenAnswer, TokenAsk
 
-# What an account sent here in this time is what will be held for it. With three seconds
-# 11.5% of the requests were refused where nine in ten entries were cut from control for
-# 5.5 s of 30, in place of 7.9% (`python -m bench allowances`, 60 requests a second).
+# What an account sent here in this time is what will be held for it: it carries the
+# account over a cut from control.
 HORIZON_MS = 5_000
 # A refusal by the replica stands for this long at the most: others may give some back.
 REFUSAL_MS = 200
--- a/src/cinderway/limits/_allowance_pool.py
+++ b/src/cinderway/limits/_allowance_pool.py
@@ -12,13 +12,10 @@
 from dataclasses import dataclass, field
 
 # A holder may save up beyond its need, but this share of what is free at the most: the
-# next holders need some too, and what is held in vain is lost to all for a lease. With
-# a quarter 2.0% of the requests were refused at 0.85 of the rate in place of none
-# (`python -m bench allowances`, 60 requests a second, 113 entries).
+# next holders need some too, and what is held in vain is lost to all for a lease.
 RESERVE_SHARE = 0.1
-# What stays free of the limit for those who have a need. Without it 4.9% of requests
-# were refused where two of five replicas were killed half-way, in place of 0.9% (the
-# same with `--callers 0.1`).
+# What stays free of the limit for those who have a need, such as entries whose replica
+# is lost.
 KEPT_SHARE = 0.15
 
 
--- a/src/cinderway/limits/_overload.py
+++ b/src/cinderway/limits/_overload.py
@@ -3,10 +3,7 @@
 Load pattern: more work arrives than all slots finish, for longer than an objective.
 Servers then queue, and once their queues are as long as the objective every answer is
 late, however many are served. What is turned away at the door does not slow the others,
-and its caller is told at once. With half as much again as all slots finish for ten
-seconds 79.0% of the requests are answered in time in place of 67.3% (experiment
-"overload", 3 seeds); servers that hang at moderate load cost 0.2 to 0.4% of the reads a
-refusal ("hanging servers under load", 2 seeds).
+and its caller is told at once.
 """
 
 
--- a/src/cinderway/routing/_choose.py
+++ b/src/cinderway/routing/_choose.py
@@ -20,11 +20,8 @@
 TIE_BREAK = 0.01
 # Servers of the own hall, and as many of the others, among which the emptiest is taken.
 # Loads are known late by some tens of milliseconds: if all entries took the emptiest
-# of all, they would meet there and wait for each other. With 59 entries a hall 92.0% of
-# the requests that run once are answered in time in place of 91.0%, and 95 of 100
-# within 1,025 ms in place of 1,105 (experiment "a hall of many entries", 4 seeds, 3).
-# With four, too many of the few are suspect where a hall has five servers: 86.4% in
-# time in place of 89.5% (experiment "hanging servers under load", 5 seeds).
+# of all, they would meet there and wait for each other. Of fewer, too many may be
+# suspect at once.
 SAMPLE_SIZE = 8
 # Keeps a server without weight last instead of dividing by zero.
 LEAST_WEIGHT = 0.001
--- a/src/cinderway/wire/_codec.py
+++ b/src/cinderway/wire/_codec.py
@@ -30,10 +30,9 @@
 class PackedMessage(Message, frozen=True, array_like=True):
     """A message that travels as MessagePack in the `packed` field of its frame.
 
-    For lists that are sent many times a second: 40 servers' loads are read in 0.03 ms
-    in place of 0.49 ms and written in 0.04 ms in place of 0.40 ms, and take 1.0 KB in
-    place of 1.3 KB (means of 2,000 on one core). The other fields in its schema are
-    those of builds before; they are read where `packed` is empty.
+    For lists that are sent many times a second: it is read and written in a tenth of
+    the time. The other fields in its schema are those of builds before; they are read
+    where `packed` is empty.
     """
 
 
