control: limits of servers are repeated to replicas only while they are new

Each replica told all others all limits each 5 s, for ever; with thousands of limited servers that is most of what replicas say.

--- a/src/cinderway/control/_limit_news.py
+++ b/src/cinderway/control/_limit_news.py
@@ -17,8 +17,9 @@
 logger = logging.getLogger(__name__)
 
 TELL_TIMEOUT_S = 1.0
-# A replica that was cut off learns within this time what it was not told.
+# What is new is told again to the other replicas, for those that were cut off.
 REPEAT_S = 5.0
+REPEATED_FOR_MS = 20_000
 
 
 @dataclass
@@ -88,9 +89,14 @@
     async def _repeat(self) -> None:
         while True:
             await anyio.sleep(REPEAT_S)
-            told = self.limits()
-            if told.lines:
-                self._tell_replicas(told)
+            now_ms = monotonic_ms()
+            recent = {
+                server: limit
+                for server, limit in self.record.held(now_ms).items()
+                if now_ms - limit.heard_at_ms < REPEATED_FOR_MS
+            }
+            if recent:
+                self._tell_replicas(ServerLimits.of(recent, now_ms))
 
     def _tell_replicas(self, told: ServerLimits) -> None:
         for address in self.machine.replicas:
