--- /dev/null
+++ b/tests/entry/servers/test_queue_check.py
@@ -0,0 +1,122 @@
+"""A request is refused as hopeless only if no server would answer it in time.
+
+On a busy day one request in ten was refused as queue-full, while servers that had just
+failed a request stood idle beside. The check asked the server that was chosen, and a
+sound server with a queue is chosen before a suspect one without work. What an entry
+knew as it refused, loads as shares of two slots each:
+
+    refused: "3.0 times the work that their slots take: 750 ms until an answer, 600 ms
+    to the objective"; suspect: 0.0 | 0.0 | 0.0 | 0.5 | 1.5 | 2.2 | 2.5,
+    sound: 2.0 | 2.0 | 2.5
+"""
+
+import random
+import unittest
+from dataclasses import replace
+
+import anyio
+from hypothesis import given, settings, strategies as st
+
+from cinderway._clock import monotonic_ms
+from cinderway._errors import CinderwayError, ErrorCode
+from cinderway._ids import DataHall, EntryName
+from cinderway.entry._blackboard import Blackboard
+from cinderway.entry.servers._permit import UNLIMITED
+from cinderway.entry.servers._slots import Slots, WantedSlot
+from cinderway.judgement import EvidenceLog, Pace
+from cinderway.routing import Penalties
+from cinderway.table import ServiceRow
+
+from ._model_servers import SERVICE, ModelServers, server_row
+
+SUVA, NADI = DataHall("suva"), DataHall("nadi")
+USUAL_MS = 250
+OBJECTIVE_MS = 600
+DEADLINE_MS = 1_250
+SLOTS = 2
+# By these an answer would come after the objective: 2.4 rounds of the usual time.
+LATE_LOAD = OBJECTIVE_MS / USUAL_MS
+SUSPECT_MS = 2_800
+FAR_AHEAD_MS = 600_000
+
+
+class World:
+    """One entry before servers with given loads, suspicions, halls and weights."""
+
+    def __init__(self, servers):
+        self.board = Blackboard(EntryName("e1"), SUVA, random.Random(1))
+        rows = {}
+        for number, (_, _, hall, weight, _) in enumerate(servers):
+            row = replace(server_row(f"s{number}", hall), slots=SLOTS, weight=weight)
+            rows[row.name] = row
+        self.board.refresh_services(
+            {SERVICE: ServiceRow(name=SERVICE)}, lambda _: rows, 0
+        )
+        self.service = self.board.services[SERVICE]
+        now_ms = monotonic_ms()
+        for state, (load, suspicion, _, _, is_cold) in zip(
+            self.service.servers.values(), servers, strict=True
+        ):
+            state.note_load(load, now_ms)
+            state.suspect_until_ms = now_ms + round(suspicion * SUSPECT_MS)
+            state.warm_until_ms = now_ms + FAR_AHEAD_MS if is_cold else 0
+        evidence = EvidenceLog()
+        evidence.set_pace(SERVICE, Pace(USUAL_MS, 2 * USUAL_MS, 4 * USUAL_MS))
+        connections = ModelServers(lambda name: (200, []))
+        self.slots = Slots(self.board, connections, evidence)
+
+    def take(self):
+        """Return the load of the server that one request gets; None if refused."""
+        now_ms = monotonic_ms()
+        wanted = WantedSlot(
+            now_ms + DEADLINE_MS,
+            set(),
+            Penalties(other_hall=0.7, suspect=5.0),
+            now_ms + OBJECTIVE_MS,
+            UNLIMITED,
+        )
+        try:
+            return anyio.run(self.slots.take, self.service, wanted).known_load
+        except CinderwayError as error:
+            if error.code is not ErrorCode.QUEUE_FULL:
+                raise
+            return None
+
+
+def near(load, suspicion=0.0):
+    return load, suspicion, SUVA, 100, False
+
+
+SERVERS = st.lists(
+    st.tuples(
+        st.sampled_from([0.0, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0]),
+        st.sampled_from([0.0, 0.0, 0.3, 0.9, 1.0]),
+        st.sampled_from([SUVA, NADI]),
+        st.sampled_from([1, 50, 100]),
+        st.booleans(),
+    ),
+    min_size=1,
+    max_size=30,
+)
+
+
+class QueueCheckTests(unittest.TestCase):
+    def test_idle_suspects_are_used_before_a_request_is_refused(self):
+        suspects = [0.0, 0.0, 0.0, 0.5, 1.5, 2.2, 2.5]
+        servers = [near(load, 0.9) for load in suspects]
+        servers += [near(load) for load in (2.0, 2.0, 2.5)]
+        self.assertIsNotNone(World(servers).take())
+
+    def test_one_idle_server_of_many_is_found(self):
+        servers = [near(4.0) for _ in range(40)] + [near(0.0, 1.0)]
+        self.assertEqual(World(servers).take(), 0.0)
+
+    def test_where_all_have_long_queues_it_is_refused(self):
+        self.assertIsNone(World([near(3.0), near(2.5, 0.9)]).take())
+
+    @settings(max_examples=150)
+    @given(SERVERS)
+    def test_a_request_is_refused_only_if_no_server_would_answer_in_time(self, servers):
+        timely = [s for s in servers if s[0] + 1 / SLOTS <= LATE_LOAD]
+        given_load = World(servers).take()
+        self.assertEqual(given_load is not None, bool(timely))
