entry: the queue check asks the emptiest server, suspect or not

Cause: the check took the load of the server that was chosen; a sound server with a queue is chosen before an idle suspect one, and of many servers the drawn ones may all be full. What an entry knew as it refused: three idle suspects of ten servers, sound ones with 2.0 times their slots. Change: servers that would answer too late are left out of the choice; where none of the drawn ones is left, all free ones are looked at; a request is refused as queue-full only if none of them would answer in time, and the refusal tells the emptiest load.

--- a/src/cinderway/entry/fleet/_catalog_follower.py
+++ b/src/cinderway/entry/fleet/_catalog_follower.py
@@ -79,12 +79,15 @@
     connect: Connect = connect
     updates: int = 0
     _connection: Connection | None = None
+    # Set while no replica is followed.
+    _is_alone: anyio.Event = field(default_factory=anyio.Event)
     # When the followed replica last said anything.
     _heard_at_ms: int = 0
     _sent_times: SentTimes = field(default_factory=SentTimes)
     _questions: Questions = field(default_factory=Questions)
 
     def __post_init__(self):
+        self._is_alone.set()
         self._choice = ReplicaChoice(
             self.settings.name,
             self.settings.data_hall,
@@ -149,6 +152,10 @@
         """Whether a control replica serves this entry now."""
         return self._connection is not None
 
+    async def wait_alone(self) -> None:
+        """Return once no control replica is followed."""
+        await self._is_alone.wait()
+
     @property
     def _is_being_told(self) -> bool:
         """Whether the followed replica is in the midst of a message."""
@@ -232,6 +239,7 @@
         self._heard_at_ms = monotonic_ms()
         self._sent_times = SentTimes()
         self._connection = connection
+        self._is_alone = anyio.Event()
         self._questions.connect(connection)
         self.allowances.start_anew()
         async with anyio.create_task_group() as tasks:
@@ -244,6 +252,7 @@
             except (CinderwayError, TimeoutError) as error:
                 failure = error
             self._connection = None
+            self._is_alone.set()
             self._questions.disconnect()
             self.state.follow_anew()
             tasks.cancel_scope.cancel()
--- a/src/cinderway/entry/fleet/_hall_peers.py
+++ b/src/cinderway/entry/fleet/_hall_peers.py
@@ -8,7 +8,7 @@
 import hashlib
 import hmac
 import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
 
 import anyio
@@ -19,6 +19,7 @@
 from cinderway._ids import Address
 from cinderway.catalog import CATALOG, ServerLoads
 from cinderway.entry._catalog_board import CatalogBoard
+from cinderway.pushback import ServerLimits
 from cinderway.wire import Message, split_address
 
 logger = logging.getLogger(__name__)
@@ -31,10 +32,10 @@
 SERVERS_A_DATAGRAM = 25
 # Entries of one hall that are told; where there are more, others are drawn each time.
 PEERS_TOLD = 16
+# Without a change of a load other news is told this late.
+NEWS_PAUSE_S = 0.1
 # News of this time is told together.
 TELL_PAUSE_S = 0.01
-# How soon the end of a control replica's service is noticed here.
-LOOK_PAUSE_S = 0.1
 
 
 @dataclass
@@ -45,6 +46,8 @@
     own_address: Address
     shared_key: bytes
     is_needed: Callable[[], bool]
+    # Returns once no control replica is followed.
+    wait_needed: Callable[[], Awaitable[None]]
     told: int = 0
     heard: int = 0
     _socket: UDPSocket | None = field(default=None)
@@ -62,10 +65,8 @@
 
     async def _tell(self) -> None:
         while True:
-            if not self.is_needed():
-                await anyio.sleep(LOOK_PAUSE_S)
-                continue
-            with anyio.move_on_after(LOOK_PAUSE_S):
+            await self.wait_needed()
+            with anyio.move_on_after(NEWS_PAUSE_S):
                 await self.state.loads_changed.wait()
             if not self.is_needed():
                 continue
@@ -82,8 +83,8 @@
         if runs.ended or runs.good:
             yield runs
         limits = self.state.board.limits.take_news(monotonic_ms())
-        if limits.lines:
-            yield limits
+        for start in range(0, len(limits.lines), SERVERS_A_DATAGRAM):
+            yield ServerLimits(limits.lines[start : start + SERVERS_A_DATAGRAM])
         loads = self.state.take_loads(monotonic_ms()).servers
         for start in range(0, len(loads), SERVERS_A_DATAGRAM):
             yield ServerLoads(loads[start : start + SERVERS_A_DATAGRAM])
--- a/src/cinderway/entry/servers/_candidates.py
+++ b/src/cinderway/entry/servers/_candidates.py
@@ -12,30 +12,41 @@
 COLD_SHARE = 0.5
 
 
-def free_candidates(
+def free_servers(
     subset: list[tuple[ServerState, int]],
-    own_hall: DataHall,
-    rng: random.Random,
     exclude: Collection[ServerName],
     now_ms: int,
-) -> list[Candidate]:
-    """Return a few servers that are below their limit of requests and not paused.
+) -> list[ServerState]:
+    """Return the servers that are below their limit of requests and not paused.
 
-    `subset` holds each server with how many requests it may get from this entry. What
-    is known of a server is put together for those alone that are drawn: for all of 105
-    it took an eighth of an experiment's processor time (profile of "roomy halls").
+    `subset` holds each server with how many requests it may get from this entry.
     """
-    free = [
+    return [
         server
         for server, limit in subset
         if server.in_flight < limit
         and server.pause_until_ms <= now_ms
         and server.row.name not in exclude
     ]
+
+
+def drawn_candidates(
+    free: list[ServerState], own_hall: DataHall, rng: random.Random, now_ms: int
+) -> list[Candidate]:
+    """Return a few of the free servers, of the own hall and of others.
+
+    What is known of a server is put together for those alone that are drawn: a service
+    may have hundreds.
+    """
     own = [server for server in free if server.row.data_hall == own_hall]
     others = [server for server in free if server.row.data_hall != own_hall]
     drawn = draw_few(own, rng) + draw_few(others, rng)
-    return [_candidate(server, now_ms) for server in drawn]
+    return all_candidates(drawn, now_ms)
+
+
+def all_candidates(free: list[ServerState], now_ms: int) -> list[Candidate]:
+    """Return all of the free servers, with what is known of each."""
+    return [_candidate(server, now_ms) for server in free]
 
 
 def _candidate(server: ServerState, now_ms: int) -> Candidate:
--- a/src/cinderway/entry/servers/_slots.py
+++ b/src/cinderway/entry/servers/_slots.py
@@ -14,7 +14,11 @@
 from cinderway._ids import ServerName
 from cinderway.entry._blackboard import Blackboard, ServerState, ServiceState
 from cinderway.entry.servers._backends import BackendConnections
-from cinderway.entry.servers._candidates import free_candidates
+from cinderway.entry.servers._candidates import (
+    all_candidates,
+    drawn_candidates,
+    free_servers,
+)
 from cinderway.entry.servers._holds import (
     is_open,
     next_open_at_ms,
@@ -64,7 +68,6 @@
                 now_ms = monotonic_ms()
                 found = self._free_server(service, wanted, now_ms)
                 if found is not None:
-                    self._check_queue(service, found, wanted, now_ms)
                     return service.servers[found.name]
                 give_up_at_ms = wanted.deadline_ms - admission.service_time_ms
                 if now_ms >= give_up_at_ms:
@@ -82,31 +85,70 @@
     def _free_server(
         self, service: ServiceState, wanted: WantedSlot, now_ms: int
     ) -> Candidate | None:
+        """Return the server to use now; None if none is free.
+
+        Raises CinderwayError if each of the free ones would answer too late.
+        """
         subset = self._subset(usable_servers(service))
-        own_hall, rng = self.board.data_hall, self.board.rng
-        candidates = free_candidates(subset, own_hall, rng, wanted.exclude, now_ms)
-        if not candidates and wanted.exclude:
+        free = free_servers(subset, wanted.exclude, now_ms)
+        if not free and wanted.exclude:
             # Every other server was tried already: a second try beats none.
-            candidates = free_candidates(subset, own_hall, rng, (), now_ms)
-        return choose(candidates, own_hall, rng, penalties=wanted.penalties)
-
-    def _check_queue(
-        self, service: ServiceState, chosen: Candidate, wanted: WantedSlot, now_ms: int
-    ) -> None:
-        """Raise CinderwayError if even the emptiest server's queue is too long."""
+            free = free_servers(subset, (), now_ms)
+        if not free:
+            return None
+        own_hall, rng = self.board.data_hall, self.board.rng
+        candidates = drawn_candidates(free, own_hall, rng, now_ms)
+        # A sound server with a long queue comes before a suspect one without work, and
+        # what is drawn may miss the few that are idle. Only where no server at all
+        # would answer in time is a request refused.
+        timely = self._timely(service, candidates, wanted, now_ms) or self._timely(
+            service, all_candidates(free, now_ms), wanted, now_ms
+        )
+        if not timely:
+            raise self._queue_full(service, free, wanted, now_ms)
+        return choose(timely, own_hall, rng, penalties=wanted.penalties)
+
+    def _timely(
+        self,
+        service: ServiceState,
+        candidates: list[Candidate],
+        wanted: WantedSlot,
+        now_ms: int,
+    ) -> list[Candidate]:
+        """Return the candidates whose queues leave time for an answer."""
         objective_at_ms = wanted.objective_at_ms
         if objective_at_ms is None:
-            return
+            return candidates
         usual_ms = self.evidence.pace(service.row.name).usual_ms
-        load = chosen.next_load
-        if is_hopeless(load, usual_ms, now_ms, objective_at_ms, wanted.deadline_ms):
-            raise CinderwayError(
-                ErrorCode.QUEUE_FULL,
-                f"servers of {service.row.name} have {load:.1f} times the work that "
-                f"their slots take: {expected_answer_ms(load, usual_ms):.0f} ms until "
-                f"an answer, {objective_at_ms - now_ms} ms to the objective",
-                step=Step.QUEUE,
+        return [
+            candidate
+            for candidate in candidates
+            if not is_hopeless(
+                candidate.next_load,
+                usual_ms,
+                now_ms,
+                objective_at_ms,
+                wanted.deadline_ms,
             )
+        ]
+
+    def _queue_full(
+        self,
+        service: ServiceState,
+        free: list[ServerState],
+        wanted: WantedSlot,
+        now_ms: int,
+    ) -> CinderwayError:
+        """Return the refusal where even the emptiest server's queue is too long."""
+        usual_ms = self.evidence.pace(service.row.name).usual_ms
+        load = min(candidate.next_load for candidate in all_candidates(free, now_ms))
+        return CinderwayError(
+            ErrorCode.QUEUE_FULL,
+            f"servers of {service.row.name} have {load:.1f} times the work that their "
+            f"slots take, or more: {expected_answer_ms(load, usual_ms):.0f} ms until "
+            f"an answer, {wanted.objective_at_ms - now_ms} ms to the objective",
+            step=Step.QUEUE,
+        )
 
     def _subset(self, usable: list[ServerState]) -> list[tuple[ServerState, int]]:
         """Return the servers to choose from, each with how many requests it may get.
