entry: an entry that serves by the catalog knows how many entries there are

Change: an entry's group tells it the size of the fleet; connection plans divide by it. Test first red (1 in place of 40).

--- a/src/cinderway/entry/_blackboard.py
+++ b/src/cinderway/entry/_blackboard.py
@@ -132,7 +132,8 @@
     is_table_trusted: bool = False
     is_leaving: bool = False
     in_flight: int = 0
-    # Entries of the fleet that are live, this one included.
+    # Entries of the fleet, this one included, as far as known: what servers take of all
+    # callers together, such as connections, is divided by it.
     entry_count: int = 1
     # Told of each server whose load or requests in flight have changed, where entries
     # share that.
@@ -165,6 +166,8 @@
     def use_group(self, group: EntryGroup, now_ms: int) -> None:
         """Take over which entries divide servers' rates with this one."""
         self.limits.use_group(group, now_ms)
+        # Groups are of about one size: entries choose the nearest of many replicas.
+        self.entry_count = max(len(group.entries) * len(group.groups), 1)
         self.wake_waiting()
 
     def refresh_from_table(self, now_ms: int) -> None:
--- a/src/cinderway/entry/fleet/_reporter.py
+++ b/src/cinderway/entry/fleet/_reporter.py
@@ -123,7 +123,6 @@
             self.board.name, self.board.data_hall, self.own_address, 0, 0, 0, False
         )
         live[own.name] = own
-        self.board.entry_count = len(live)
         fleet = EntryGroup(WHOLE_FLEET, frozenset({WHOLE_FLEET}), frozenset(live))
         self.board.use_group(fleet, now_ms)
         groups = {group_of(name) for name in self.board.services}
