entry: no look ten times a second whether control is still there

Cause: each entry woke each 100 ms to see whether its hall's entries have to be told what control would tell them.

--- a/tests/entry/fleet/test_hall_peers.py
+++ b/tests/entry/fleet/test_hall_peers.py
@@ -28,7 +28,12 @@
     board = Blackboard(EntryName(name), DataHall(SUVA), random.Random(1))
     state = CatalogBoard(board, EvidenceLog(), lone_retry_percent=5)
     state.install(catalog(["a", "b"]).update_since(0), now_ms=0)
-    return HallPeers(state, free_address(), key, lambda: is_alone)
+    wait = anyio.sleep if is_alone else _wait_for_ever
+    return HallPeers(state, free_address(), key, lambda: is_alone, lambda: wait(0))
+
+
+async def _wait_for_ever(_):
+    await anyio.sleep_forever()
 
 
 def tell_load(peers, name, load):
