--- /dev/null
+++ b/bench/_counted.py
@@ -0,0 +1,97 @@
+"""Run one daemon and count what wakes it: `python -m bench._counted FOLDER ROLE …`.
+
+The daemon runs on the standard library's event loop in place of uvloop, which cannot be
+looked into. At SIGUSR1 it writes a file in FOLDER: the timers that ran out by the task
+that set them, and the messages sent by kind.
+"""
+
+import asyncio
+import os
+import signal
+import sys
+from collections import Counter
+from pathlib import Path
+
+import anyio
+import msgspec
+
+from cinderway import _launch
+from cinderway._settings import environment_variable_of
+from cinderway.wire import Conversation
+
+UNKNOWN = "no task"
+
+
+class Counts(msgspec.Struct):
+    """What one process did since its start."""
+
+    timers: dict[str, int] = {}
+    messages: dict[str, int] = {}
+    message_bytes: dict[str, int] = {}
+
+
+timers: Counter[str] = Counter()
+messages: Counter[str] = Counter()
+message_bytes: Counter[str] = Counter()
+
+
+class CountingLoop(asyncio.SelectorEventLoop):
+    """An event loop that counts the timers that run out, by who set them."""
+
+    def call_at(self, when, callback, *args, context=None):
+        """Set a timer that is counted when it runs out."""
+        name = _task_name()
+
+        def count_and_call():
+            timers[name] += 1
+            callback(*args)
+
+        return super().call_at(when, count_and_call, context=context)
+
+
+def _task_name() -> str:
+    try:
+        task = asyncio.current_task()
+    except RuntimeError:
+        task = None
+    return task.get_coro().__qualname__ if task is not None else UNKNOWN
+
+
+def _count_messages() -> None:
+    encode = Conversation.encode
+
+    def counted(self, message, call_id=0):
+        frame = encode(self, message, call_id)
+        name = type(message).__name__
+        messages[name] += 1
+        message_bytes[name] += len(frame)
+        return frame
+
+    Conversation.encode = counted
+
+
+def main() -> None:
+    """Run the daemon that the command line names."""
+    folder, role, *arguments = sys.argv[1:]
+    options = dict(zip(arguments[::2], arguments[1::2], strict=True))
+    variable = environment_variable_of("settings_file")
+    os.environ[variable] = options["--settings-file"]
+    _count_messages()
+    run = anyio.run
+
+    def run_counted(function, *args, **_):
+        return run(function, *args, backend_options={"loop_factory": CountingLoop})
+
+    def write(*_) -> None:
+        counts = Counts(dict(timers), dict(messages), dict(message_bytes))
+        path = Path(folder) / f"{os.getpid()}.json"
+        path.with_suffix(".new").write_bytes(msgspec.json.encode(counts))
+        path.with_suffix(".new").rename(path)
+
+    anyio.run = run_counted
+    signal.signal(signal.SIGUSR1, write)
+    sys.exit(_launch.main([role]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/wakeups.py
@@ -0,0 +1,125 @@
+"""What wakes our processes, and what they tell each other.
+
+    python -m bench wakeups [--entries 6] [--seconds 10] [--per-s 0]
+
+Real processes that serve by the catalog, before stand-in servers, at rest or with some
+requests a second. Counted by process and second, means over each role: timers that ran
+out by the task that set them, messages and their bytes by kind, processor time. They
+run on the standard library's event loop: its processor time is higher than uvloop's.
+"""
+
+import argparse
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+
+import msgspec
+
+from bench._counted import Counts
+from bench.control_cost import cpu_s
+from bench.figures import table
+from standins import catalog_fleet
+from standins.catalog_fleet import CatalogFleet, RegisteredServer, call, wait_for
+
+SETTLE_S = 6.0
+SERVERS = 4
+ROWS = 12
+SHEET = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "look",
+            "host": "a.example",
+            "path_prefix": "/look/",
+            "kind": "repeatable",
+            "timeout_ms": 1500,
+            "objective_ms": 1000,
+            "service": "lookup",
+            "server_limit": 2,
+        }
+    ],
+    "services": [{"name": "lookup"}],
+}
+
+
+def _counts(fleet: CatalogFleet, folder: Path) -> dict[str, Counts]:
+    """Let all processes write what they did so far, and read that."""
+    for path in folder.glob("*.json"):
+        path.unlink()
+    for process in fleet.processes.values():
+        process.send_signal(signal.SIGUSR1)
+    paths = {n: folder / f"{p.pid}.json" for n, p in fleet.processes.items()}
+    wait_for(lambda: all(path.exists() for path in paths.values()), "counts")
+    return {
+        name: msgspec.json.decode(path.read_bytes(), type=Counts)
+        for name, path in paths.items()
+    }
+
+
+def _send_requests(fleet: CatalogFleet, per_s: float, until_s: float) -> None:
+    number = 0
+    while time.monotonic() < until_s:
+        number += 1
+        headers = {"host": "a.example", "cinderway-attempt": f"w{number}"}
+        call(fleet.callers[number % fleet.entries], "GET", "/look/x", b"", headers)
+        time.sleep(1 / per_s)
+
+
+def _measure(fleet: CatalogFleet, folder: Path, seconds: float, per_s: float) -> None:
+    before = _counts(fleet, folder)
+    pids = {name: process.pid for name, process in fleet.processes.items()}
+    cpu_before_s = {name: cpu_s(pid) for name, pid in pids.items()}
+    began_s = time.monotonic()
+    if per_s:
+        _send_requests(fleet, per_s, began_s + seconds)
+    else:
+        time.sleep(seconds)
+    after = _counts(fleet, folder)
+    took_s = time.monotonic() - began_s
+    for role in ("entry", "control"):
+        names = [name for name in pids if name.startswith(role)]
+        scale = 1 / took_s / len(names)
+        used_s = sum(cpu_s(pids[n]) - cpu_before_s[n] for n in names) * scale
+        print(f"\n{role}: {len(names)} processes, {100 * used_s:.1f}% of a core each\n")
+        for field in ("timers", "messages", "message_bytes"):
+            _print(role, field, before, after, names, scale)
+
+
+def _print(role, field, before, after, names, scale) -> None:
+    total: Counter[str] = Counter()
+    for name in names:
+        total.update(getattr(after[name], field))
+        total.subtract(getattr(before[name], field))
+    rows = [["all", f"{total.total() * scale:.2f}"]]
+    rows += [[what, f"{count * scale:.2f}"] for what, count in total.most_common(ROWS)]
+    print(table([f"{role}: {field}", "a second and process"], rows) + "\n")
+
+
+def main(arguments: list[str]) -> None:
+    """Print what was counted."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--entries", type=int, default=6)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--per-s", type=float, default=0.0)
+    options = parser.parse_args(arguments)
+    with tempfile.TemporaryDirectory() as folder:
+        command = [sys.executable, "-m", "bench._counted", folder]
+        catalog_fleet.CINDERWAY = command
+        fleet = CatalogFleet(entries=options.entries)
+        servers = [RegisteredServer(f"i-{n}", "lookup") for n in range(SERVERS)]
+        try:
+            fleet.start()
+            fleet.put_sheet(SHEET)
+            for server in servers:
+                fleet.register(server)
+            for number in range(options.entries):
+                fleet.wait_ready(number)
+            time.sleep(SETTLE_S)
+            _measure(fleet, Path(folder), options.seconds, options.per_s)
+        finally:
+            fleet.stop()
+            for server in servers:
+                server.stop()
