--- a/standins/backend.py
+++ b/standins/backend.py
@@ -39,6 +39,8 @@
     weak_etag: bool = False
     # Turns all requests away, and asks for so many seconds of rest.
     rest_s: int = 0
+    # Names so many requests a second in all answers; 0 names none.
+    rate_limit_per_s: float = 0.0
     from_names: list[str] = field(default_factory=list)
 
 
@@ -213,6 +215,9 @@
         headers = [*headers, (b"cinderway-load", load)]
         if self.faults.drain:
             headers.append((b"cinderway-drain", b"1"))
+        if self.faults.rate_limit_per_s:
+            limit = b"%f" % self.faults.rate_limit_per_s
+            headers.append((b"cinderway-rate-limit", limit))
         await send(
             {"type": "http.response.start", "status": status, "headers": headers}
         )
--- a/tests/system/test_catalog.py
+++ b/tests/system/test_catalog.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import threading
+import time
 import unittest
 from pathlib import Path
 
@@ -307,6 +308,54 @@
         self.assertEqual(self.servers["sub1"].runs, [])
 
 
+class LimitedServerTests(CatalogCase):
+    entries = 3
+
+    def test_a_server_that_names_a_rate_gets_no_more_from_all_entries_together(self):
+        """Control passes its word on: each entry alone would send it every second."""
+        rate_per_s = 0.5
+        limited = self.servers["sub1"]
+        limited.says = {"cinderway-rate-limit": str(rate_per_s)}
+        began_s = time.monotonic()
+        for number in range(60):
+            entry = self.fleet.callers[number % self.entries]
+            headers = {"host": "a.example", "cinderway-attempt": f"l{number}"}
+            answer = call(entry, "POST", "/once/x", b"", headers)
+            self.assertEqual(answer.status, 200)
+        took_s = time.monotonic() - began_s
+        # What it bears, and one from each entry that had not heard of it.
+        bearable = 1.5 * rate_per_s * took_s + 5
+        self.assertLessEqual(len(limited.arrivals), bearable + self.entries)
+        self.assertGreater(len(self.servers["sub2"].arrivals), 40)
+
+    def test_its_part_is_used_while_control_is_away(self):
+        limited = self.servers["sub1"]
+        limited.says = {"cinderway-rate-limit": "2"}
+        self.servers["sub2"].says = {"cinderway-rate-limit": "2"}
+        wait_for(lambda: all(self.told_of_parts()), "entries that know their parts")
+        self.ask_all("first")
+        for number in range(self.fleet.replicas):
+            self.fleet.kill(f"control-{number}")
+        arrived = len(limited.arrivals)
+
+        def gets_more():
+            self.ask_all("away")
+            return len(limited.arrivals) >= arrived + 3
+
+        wait_for(gets_more, "work for the server")
+
+    def told_of_parts(self):
+        logs = [self.fleet.log_of(f"entry-{n}") for n in range(self.entries)]
+        return ["servers' rates are divided among" in log for log in logs]
+
+    def ask_all(self, attempt):
+        """Send a request to each entry; some have no part and refuse it."""
+        for entry in self.fleet.callers:
+            headers = {"host": "a.example", "cinderway-attempt": attempt}
+            answer = call(entry, "POST", "/once/x", b"", headers)
+            self.assertIn(answer.status, (200, 503))
+
+
 class RestartedServerTests(CatalogCase):
     """Servers crash and start again under the id that they had."""
 
--- a/tests/system/test_requests.py
+++ b/tests/system/test_requests.py
@@ -182,6 +182,23 @@
         shed = self.fleet.counts("readings-1")["shed"] - shed_before
         self.assertLessEqual(shed, len(self.fleet.entries))
 
+    def test_a_server_that_names_a_rate_gets_no_more_from_all_entries_together(self):
+        """The assessors pass its word on: each entry alone would send it a third."""
+        rate_per_s = 0.5
+        self.fleet.fault("readings-1", rate_limit_per_s=rate_per_s)
+        served_before = self.fleet.counts("readings-1")["served"]
+        began_s = time.monotonic()
+        for number in range(60):
+            entry = self.fleet.entries[number % len(self.fleet.entries)]
+            fields = {"Idempotency-Key": f"limit-{number}", "X-Caller": "ana"}
+            status, _, _ = request(entry, "POST", "/readings/m", b"42", fields)
+            self.assertEqual(status, 200)
+        took_s = time.monotonic() - began_s
+        served = self.fleet.counts("readings-1")["served"] - served_before
+        # What it bears, and one from each entry that had not heard of it.
+        bearable = 1.5 * rate_per_s * took_s + 5
+        self.assertLessEqual(served, bearable + len(self.fleet.entries))
+
     def servers_of(self, count):
         """Return who answers `count` lookups spread over all entries."""
         entries = self.fleet.entries * (count // len(self.fleet.entries))
