--- a/bench/server_limits.py
+++ b/bench/server_limits.py
@@ -1,6 +1,6 @@
 """Servers that name a rate: ways to keep the fleet to it, in virtual time.
 
-    python -m bench server_limits [--seeds 2] [--seconds 12]
+    python -m bench server_limits [--seeds 2] [--fleets 40] [--limits all]
 
 Played is the product before model servers, with the way as it stands (a few entries
 divide each rate), with an equal part for each entry, with an equal part of which one
@@ -197,10 +197,13 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=2)
     parser.add_argument("--seconds", type=int, default=12)
+    parser.add_argument("--fleets", default="", help="Those whose name holds this.")
+    parser.add_argument("--limits", default="", help="Those whose name holds this.")
     options = parser.parse_args(arguments)
     cases = [
         (way, fleet, limit, options.seeds, options.seconds * 1000)
         for fleet, limit, way in product(FLEETS, LIMITS, Way)
+        if options.fleets in fleet and options.limits in limit
     ]
     header = ["fleet", "limits", "way", "worst window", "used", "in time", "refused"]
     with ProcessPoolExecutor(PROCESSES) as processes:
