--- a/src/cinderway/control/_entry_groups.py
+++ b/src/cinderway/control/_entry_groups.py
@@ -49,12 +49,13 @@
     def _look(self, now_ms: int) -> None:
         followers = self.followers()
         found = self._entries(followers, now_ms)
-        is_same = found == self._told
-        told_to = self._told_to if is_same else set()
+        untold = followers - self._told_to if found == self._told else followers
+        self._told, self._told_to = found, set(followers)
+        if not untold:
+            return
         frame = CATALOG.encode(found)
-        for follower in followers - told_to:
+        for follower in untold:
             follower.tell_news([frame])
-        self._told, self._told_to = found, set(followers)
 
     def _entries(self, followers: set[Follower], now_ms: int) -> FleetEntries:
         for follower in followers:
