--- a/bench/_counted.py
+++ b/bench/_counted.py
@@ -1,8 +1,8 @@
 """Run one daemon and count what wakes it: `python -m bench._counted FOLDER ROLE …`.
 
 The daemon runs on the standard library's event loop in place of uvloop, which cannot be
-looked into. At SIGUSR1 it writes a file in FOLDER: the timers that ran out by the task
-that set them, and the messages sent by kind.
+looked into. At SIGUSR1 it writes a file in FOLDER: the timers that ran out by the
+function that set them, and the messages sent by kind.
 """
 
 import asyncio
@@ -19,7 +19,8 @@
 from cinderway._settings import environment_variable_of
 from cinderway.wire import Conversation
 
-UNKNOWN = "no task"
+PACKAGE = "/src/cinderway/"
+UNKNOWN = "a library"
 
 
 class Counts(msgspec.Struct):
@@ -40,7 +41,7 @@
 
     def call_at(self, when, callback, *args, context=None):
         """Set a timer that is counted when it runs out."""
-        name = _task_name()
+        name = _caller_name()
 
         def count_and_call():
             timers[name] += 1
@@ -49,12 +50,14 @@
         return super().call_at(when, count_and_call, context=context)
 
 
-def _task_name() -> str:
-    try:
-        task = asyncio.current_task()
-    except RuntimeError:
-        task = None
-    return task.get_coro().__qualname__ if task is not None else UNKNOWN
+def _caller_name() -> str:
+    """Return the innermost function of ours that is under way."""
+    frame = sys._getframe()
+    while frame is not None:
+        if PACKAGE in frame.f_code.co_filename:
+            return frame.f_code.co_qualname
+        frame = frame.f_back
+    return UNKNOWN
 
 
 def _count_messages() -> None:
--- a/bench/wakeups.py
+++ b/bench/wakeups.py
@@ -3,12 +3,14 @@
     python -m bench wakeups [--entries 6] [--seconds 10] [--per-s 0]
 
 Real processes that serve by the catalog, before stand-in servers, at rest or with some
-requests a second. Counted by process and second, means over each role: timers that ran
-out by the task that set them, messages and their bytes by kind, processor time. They
-run on the standard library's event loop: its processor time is higher than uvloop's.
+requests a second. Counted by process and second, means over each role: timers that
+ran out by the function that set them, messages and their bytes by kind, processor time.
+They run on the standard library's event loop: its processor time is higher than
+uvloop's.
 """
 
 import argparse
+import os
 import signal
 import sys
 import tempfile
@@ -23,6 +25,7 @@
 from bench.figures import table
 from standins import catalog_fleet
 from standins.catalog_fleet import CatalogFleet, RegisteredServer, call, wait_for
+from standins.fleet import free_ports
 
 SETTLE_S = 6.0
 SERVERS = 4
@@ -45,6 +48,16 @@
 }
 
 
+class PeersFleet(CatalogFleet):
+    """A fleet whose entries can tell each other their news, as on the platform."""
+
+    def start_entry(self, number: int, **settings: str) -> None:
+        """Start one entry."""
+        (port,) = free_ports(1)
+        peers_listen = f"127.0.0.1:{port}"
+        super().start_entry(number, peers_listen=peers_listen, **settings)
+
+
 def _counts(fleet: CatalogFleet, folder: Path) -> dict[str, Counts]:
     """Let all processes write what they did so far, and read that."""
     for path in folder.glob("*.json"):
@@ -106,9 +119,12 @@
     parser.add_argument("--per-s", type=float, default=0.0)
     options = parser.parse_args(arguments)
     with tempfile.TemporaryDirectory() as folder:
-        command = [sys.executable, "-m", "bench._counted", folder]
+        # Fleets give their processes no environment; the tree to measure may not be
+        # the one that is installed.
+        path = f"PYTHONPATH={os.environ.get('PYTHONPATH', '')}"
+        command = ["env", path, sys.executable, "-m", "bench._counted", folder]
         catalog_fleet.CINDERWAY = command
-        fleet = CatalogFleet(entries=options.entries)
+        fleet = PeersFleet(entries=options.entries)
         servers = [RegisteredServer(f"i-{n}", "lookup") for n in range(SERVERS)]
         try:
             fleet.start()
