--- a/bench/server_limits.py
+++ b/bench/server_limits.py
@@ -112,7 +112,10 @@
         case Way.EQUAL:
             return [_equal_parts(entries)]
         case Way.EQUAL_SAVED:
-            return [_equal_parts(entries), mock.patch.object(RateTurns, "use", _saved)]
+            return [
+                _equal_parts(entries),
+                mock.patch.object(RateTurns, "set_share", _saved),
+            ]
         case Way.ONE_PLACE:
             return _one_place()
 
--- a/src/cinderway/entry/servers/_dispatch.py
+++ b/src/cinderway/entry/servers/_dispatch.py
@@ -251,9 +251,9 @@
     """
     now_ms = monotonic_ms()
     hold = hold_of(sending.service, sending.server, now_ms)
-    return (
-        hold or permit.refusal() or turn_refusal(sending.server, sending.turn, now_ms)
-    )
+    refusal = permit.refusal()
+    # Asked last: it uses a turn up where one is needed.
+    return hold or refusal or turn_refusal(sending.server, sending.turn, now_ms)
 
 
 def _refused(server: ServerState, code: ErrorCode, detail: str) -> CinderwayError:
--- a/src/cinderway/pushback/_book.py
+++ b/src/cinderway/pushback/_book.py
@@ -194,7 +194,7 @@
 
     def _use_share(self, server: ServerName, turns: RateTurns, now_ms: int) -> None:
         share = share_of(server, turns.rate_per_s, self.entry, self.group)
-        turns.use(share, now_ms)
+        turns.set_share(share, now_ms)
 
     def _keep(self, server: ServerName, kept: ServerPushback) -> None:
         self._servers.pop(server, None)
--- a/src/cinderway/pushback/_turns.py
+++ b/src/cinderway/pushback/_turns.py
@@ -36,7 +36,7 @@
             return MS_PER_S / self.rate_per_s
         return max(self.next_at_ms - now_ms, 0)
 
-    def use(self, share_per_s: float, now_ms: int) -> None:
+    def set_share(self, share_per_s: float, now_ms: int) -> None:
         """Take over the entry's part of the rate."""
         if not self.share_per_s:
             self._last_ms = now_ms
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -35,6 +35,8 @@
 MEMBER_CHANGES = "replication/_member_changes.py"
 CORE_TESTS = "tests.replication.test_core"
 PUSHBACK_TESTS = "tests.entry.servers.test_pushback"
+LIMIT_TESTS = "tests.entry.servers.test_limits"
+SHARE_TESTS = "tests.pushback.test_rate_shares"
 
 GUARDS = [
     Guard(
@@ -287,22 +289,22 @@
     Guard(
         "a server that asked for rest is not chosen",
         "entry/servers/_holds.py",
-        "    return server.takes_work(now_ms) and not server.pushback.rests(now_ms)\n",
+        "    return server.takes_work(now_ms) and server.pushback.is_open(now_ms)\n",
         "    return server.takes_work(now_ms)\n",
         PUSHBACK_TESTS,
     ),
     Guard(
         "what a server asked for is looked at again before bytes are written",
         "entry/servers/_dispatch.py",
-        "    return hold or permit.refusal()\n",
-        "    return permit.refusal()\n",
+        "    return hold or refusal or turn",
+        "    return refusal or turn",
         PUSHBACK_TESTS,
     ),
     Guard(
         "what may no longer be sent is looked at again before bytes are written",
         "entry/servers/_dispatch.py",
-        "    return hold or permit.refusal()\n",
-        "    return hold\n",
+        "    return hold or refusal or turn",
+        "    return hold or turn",
         PUSHBACK_TESTS,
     ),
     Guard(
@@ -312,6 +314,55 @@
         "        return ServerPushback()\n",
         PUSHBACK_TESTS,
     ),
+    Guard(
+        "a server's limit is looked at again before bytes are written",
+        "entry/servers/_dispatch.py",
+        "    return hold or refusal or turn",
+        "    return hold or refusal",
+        LIMIT_TESTS,
+    ),
+    Guard(
+        "a server is chosen only where a turn is due",
+        "pushback/_book.py",
+        "        return now_ms >= self.opens_at_ms(now_ms)\n",
+        "        return now_ms >= self.rests_until_ms\n",
+        LIMIT_TESTS,
+    ),
+    Guard(
+        "whoever gets a part of a rate begins without a turn",
+        "pushback/_turns.py",
+        "        if not self.share_per_s:\n            self._last_ms = now_ms\n",
+        "",
+        SHARE_TESTS,
+    ),
+    Guard(
+        "an entry that knows of no group sends nothing to a limited server",
+        "pushback/_rate_shares.py",
+        "        return 0.0\n    holders",
+        "        return rate_per_s\n    holders",
+        SHARE_TESTS,
+    ),
+    Guard(
+        "an older word brings no limit back",
+        "pushback/_limits.py",
+        "limit.heard_at_ms < known.heard_at_ms",
+        "False",
+        LIMIT_TESTS,
+    ),
+    Guard(
+        "only an entry among the first of a server's order has a part",
+        "pushback/_rate_shares.py",
+        "    if entry not in chosen:\n        return 0.0\n",
+        "",
+        SHARE_TESTS,
+    ),
+    Guard(
+        "idle servers that were not drawn are looked at before a request is refused",
+        "entry/servers/_slots.py",
+        "service, all_candidates(free, now_ms), wanted, now_ms",
+        "service, candidates, wanted, now_ms",
+        "tests.entry.servers.test_queue_check",
+    ),
 ]
 
 
