--- a/src/cinderway/control/_entry_groups.py
+++ b/src/cinderway/control/_entry_groups.py
@@ -5,7 +5,6 @@
 nobody else's part has changed.
 """
 
-import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -17,8 +16,6 @@
 from cinderway.control._follower import Follower
 from cinderway.pushback import FleetEntries
 
-logger = logging.getLogger(__name__)
-
 # Between two looks whether something has changed: many entries come at one moment.
 LOOK_PAUSE_S = 1.0
 # A replica that has just started waits for the entries that followed it before: by a
--- a/src/cinderway/control/_hall_news.py
+++ b/src/cinderway/control/_hall_news.py
@@ -5,14 +5,12 @@
 does not grow with the fleet.
 """
 
-import logging
 from collections.abc import Callable, Hashable, Iterable
 from dataclasses import dataclass, field
 
 import anyio
 
 from cinderway._clock import monotonic_ms
-from cinderway._errors import CinderwayError
 from cinderway._ids import Address, ServerName
 from cinderway.catalog import (
     CATALOG,
@@ -27,10 +25,8 @@
 from cinderway.control._commands import ReplicaCalls
 from cinderway.control._follower import Follower
 from cinderway.control._in_flight import InFlight
+from cinderway.control._tellings import Tellings
 from cinderway.judgement import FADES_MS
-from cinderway.wire import Message
-
-logger = logging.getLogger(__name__)
 
 # A suspicion fades from its first moment on; told much later it is worth little.
 TELL_TIMEOUT_S = 0.3
@@ -68,12 +64,15 @@
     _untold_afar: set[ServerName] = field(default_factory=set)
     _has_news: anyio.Event = field(default_factory=anyio.Event)
     _has_failures: anyio.Event = field(default_factory=anyio.Event)
-    _tasks: anyio.abc.TaskGroup | None = None
+    _tellings: Tellings = field(init=False)
+
+    def __post_init__(self):
+        self._tellings = Tellings(self.calls, TELL_TIMEOUT_S)
 
     async def run(self) -> None:
         """Pass news on until cancelled."""
         async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
+            self._tellings.start(tasks)
             tasks.start_soon(self._share_news)
             tasks.start_soon(self._share_afar)
             tasks.start_soon(self._share_hall_entries)
@@ -142,10 +141,10 @@
         self._tell_followers(seen.followed_by(heard), now_ms)
         if seen.suspect_until_ms:
             told = _for_other_halls(seen.suspects(now_ms))
-            self._tell_replicas(self._other_replicas(), told)
+            self._tellings.tell(self._other_replicas(), told)
         if seen.loads:
             told = seen.server_loads(self._entries_in_flight.total)
-            self._tell_replicas(self._hall_replicas(), told)
+            self._tellings.tell(self._hall_replicas(), told)
 
     def _tell_followers(self, news: "_News", now_ms: int) -> None:
         """Tell all entries of suspects, and those of the own hall of loads."""
@@ -164,7 +163,7 @@
             if untold:
                 total = self._entries_in_flight.total
                 loads = [ServerLoad(name, NO_LOAD, total(name)) for name in untold]
-                self._tell_replicas(self._far_replicas(), ServerLoads(loads))
+                self._tellings.tell(self._far_replicas(), ServerLoads(loads))
 
     def _fleet_in_flight(self, server: ServerName) -> int:
         """Return what all entries have under way at a server, as far as known."""
@@ -204,16 +203,6 @@
         """Return the replicas of other halls."""
         return [a for a in self._other_replicas() if a not in self._hall_replicas()]
 
-    def _tell_replicas(self, addresses: list[Address], news: Message) -> None:
-        for address in addresses:
-            self._tasks.start_soon(self._tell_replica, address, news)
-
-    async def _tell_replica(self, address: Address, news: Message) -> None:
-        try:
-            await self.calls.call(address, news, TELL_TIMEOUT_S)
-        except CinderwayError as error:
-            logger.debug("a replica was not told of servers: %s", error)
-
 
 @dataclass
 class _News:
--- a/src/cinderway/control/_limit_news.py
+++ b/src/cinderway/control/_limit_news.py
@@ -1,21 +1,18 @@
 """What replicas know of the rates that servers name, and tell of them."""
 
-import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
 
 from cinderway._clock import monotonic_ms
-from cinderway._errors import CinderwayError
 from cinderway._ids import Address, ServerName
 from cinderway.catalog import CATALOG, CatalogMachine
 from cinderway.control._commands import ReplicaCalls
 from cinderway.control._follower import Follower
+from cinderway.control._tellings import Tellings
 from cinderway.pushback import LimitRecord, ServerLimits
 
-logger = logging.getLogger(__name__)
-
 TELL_TIMEOUT_S = 1.0
 # What is new is told again to the other replicas, for those that were cut off.
 REPEAT_S = 5.0
@@ -35,12 +32,15 @@
     # Of these, what entries that follow here told: the other replicas hear of it.
     _untold_afar: set[ServerName] = field(default_factory=set)
     _has_news: anyio.Event = field(default_factory=anyio.Event)
-    _tasks: anyio.abc.TaskGroup | None = None
+    _tellings: Tellings = field(init=False)
+
+    def __post_init__(self):
+        self._tellings = Tellings(self.calls, TELL_TIMEOUT_S)
 
     async def run(self) -> None:
         """Pass on what is known until cancelled."""
         async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
+            self._tellings.start(tasks)
             tasks.start_soon(self._repeat)
             while True:
                 await self._has_news.wait()
@@ -99,12 +99,5 @@
                 self._tell_replicas(ServerLimits.of(recent, now_ms))
 
     def _tell_replicas(self, told: ServerLimits) -> None:
-        for address in self.machine.replicas:
-            if address != self.own_address:
-                self._tasks.start_soon(self._tell_replica, address, told)
-
-    async def _tell_replica(self, address: Address, told: ServerLimits) -> None:
-        try:
-            await self.calls.call(address, told, TELL_TIMEOUT_S)
-        except CinderwayError as error:
-            logger.debug("a replica was not told of limits: %s", error)
+        others = [a for a in self.machine.replicas if a != self.own_address]
+        self._tellings.tell(others, told)
--- a/src/cinderway/control/_poison_news.py
+++ b/src/cinderway/control/_poison_news.py
@@ -11,11 +11,11 @@
 import anyio
 
 from cinderway._clock import monotonic_ms
-from cinderway._errors import CinderwayError
 from cinderway._ids import Address, RequestDigest
 from cinderway.catalog import CATALOG, CatalogMachine
 from cinderway.control._commands import ReplicaCalls
 from cinderway.control._follower import Follower
+from cinderway.control._tellings import Tellings
 from cinderway.poison import (
     EndedRun,
     PoisonTally,
@@ -52,12 +52,15 @@
     _good: list[RequestDigest] = field(default_factory=list)
     _rulings: dict[RequestDigest, Ruling] = field(default_factory=dict)
     _has_news: anyio.Event = field(default_factory=anyio.Event)
-    _tasks: anyio.abc.TaskGroup | None = None
+    _tellings: Tellings = field(init=False)
+
+    def __post_init__(self):
+        self._tellings = Tellings(self.calls, TELL_TIMEOUT_S)
 
     async def run(self) -> None:
         """Pass on what is known until cancelled."""
         async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
+            self._tellings.start(tasks)
             tasks.start_soon(self._repeat_rulings)
             while True:
                 await self._has_news.wait()
@@ -129,15 +132,8 @@
                 self._tell_replicas(told)
 
     def _tell_replicas(self, message: Message) -> None:
-        for address in self.machine.replicas:
-            if address != self.own_address:
-                self._tasks.start_soon(self._tell_replica, address, message)
-
-    async def _tell_replica(self, address: Address, message: Message) -> None:
-        try:
-            await self.calls.call(address, message, TELL_TIMEOUT_S)
-        except CinderwayError as error:
-            logger.debug("a replica was not told of requests: %s", error)
+        others = [a for a in self.machine.replicas if a != self.own_address]
+        self._tellings.tell(others, message)
 
 
 def _told(rulings: list[Ruling]) -> RequestRulings:
