tests: a catalog fleet is asked only once all of its entries are ready

The set-up waited for the first entry alone. Shown: with the second entry's process started 6 s late the test fails so each time before, and passes now. The wait is stricter; no check changed.

--- a/tests/system/test_catalog.py
+++ b/tests/system/test_catalog.py
@@ -57,7 +57,8 @@
         self.assertEqual(self.fleet.put_sheet(FIRST), 200)
         for server in self.servers.values():
             self.fleet.register(server)
-        self.fleet.wait_ready()
+        for number in range(self.entries):
+            self.fleet.wait_ready(number)
         self.ask_until(200, "/look/1", "warm-up-1")
         self.ask_until(200, "/once/1", "warm-up-2", "POST")
         for server in self.servers.values():
