entry: no request waits for a turn that would make its answer late

By the model, where all servers are limited, requests waited for turns until shortly before their deadline; each turn then went to an answer that was late, and the next one came late, too. Ruled out: bursts of refusals by entries without a part alone (they are refused at once, before and after). Change: as with queues, a request whose answer could still be in time is refused at once if no turn (or end of a rest) comes early enough for that; test first seen to wait 1 s. What is left is that parts are uneven over entries: one place that grants each turn would give more.

--- a/src/cinderway/entry/servers/_slots.py
+++ b/src/cinderway/entry/servers/_slots.py
@@ -72,7 +72,8 @@
                 give_up_at_ms = wanted.deadline_ms - admission.service_time_ms
                 if now_ms >= give_up_at_ms:
                     raise _no_slot(service)
-                refusal = pushback_refusal(service, now_ms, give_up_at_ms, waiting)
+                until_ms = self._of_use_until_ms(service, wanted, now_ms, give_up_at_ms)
+                refusal = pushback_refusal(service, now_ms, until_ms, waiting)
                 if refusal is not None:
                     raise refusal
                 waiting = 1
@@ -82,6 +83,26 @@
         finally:
             admission.waiting -= 1
 
+    def _of_use_until_ms(
+        self,
+        service: ServiceState,
+        wanted: WantedSlot,
+        now_ms: int,
+        give_up_at_ms: float,
+    ) -> float:
+        """Return until when a server that opens again is of use to a request.
+
+        As long as its answer can be in time, that is what counts: a turn that makes
+        one answer late is taken from another request whose answer would not be.
+        """
+        if wanted.objective_at_ms is None:
+            return give_up_at_ms
+        usual_ms = self.evidence.pace(service.row.name).usual_ms
+        in_time_until_ms = wanted.objective_at_ms - usual_ms
+        if now_ms >= in_time_until_ms:
+            return give_up_at_ms
+        return min(in_time_until_ms, give_up_at_ms)
+
     def _free_server(
         self, service: ServiceState, wanted: WantedSlot, now_ms: int
     ) -> Candidate | None:
--- a/tests/entry/servers/test_limits.py
+++ b/tests/entry/servers/test_limits.py
@@ -157,6 +157,21 @@
         self.assertEqual(world.outcomes.count(ErrorCode.BACKEND_LIMITED), 9)
         self.assertLess(took_ms, 2_000)
 
+    def test_nobody_waits_for_a_turn_that_would_make_the_answer_late(self):
+        """Such a turn is taken from a request whose answer would be in time."""
+
+        async def play():
+            world = LimitedWorld(b"1", (LIMITED,))
+            told = ServerLimits([ServerLimit(LIMITED, 1.0, 0)])
+            world.board.hear_limits(told, monotonic_ms())
+            began_ms = monotonic_ms()
+            await world.ask(objective_ms=600)
+            return world.outcomes, monotonic_ms() - began_ms
+
+        outcomes, took_ms = run_in_virtual_time(play)
+        self.assertEqual(outcomes, [ErrorCode.BACKEND_LIMITED])
+        self.assertEqual(took_ms, 0)
+
     def test_an_entry_without_a_part_sends_nothing_and_says_when_others_may(self):
         async def play():
             world = LimitedWorld(b"2", (LIMITED,))
--- a/tests/entry/servers/test_pushback.py
+++ b/tests/entry/servers/test_pushback.py
@@ -64,8 +64,10 @@
         rows = {SERVICE: self.row}
         self.board.refresh_services(rows, lambda _: servers, monotonic_ms())
 
-    async def ask(self, permit=UNLIMITED):
+    async def ask(self, permit=UNLIMITED, objective_ms=None):
         """Send one request; note its status, or the code of its error."""
+        began_ms = monotonic_ms()
+        objective_at_ms = None if objective_ms is None else began_ms + objective_ms
         try:
             async with self.dispatcher.exchange(
                 self.board.services[SERVICE],
@@ -75,6 +77,7 @@
                 exclude=set(),
                 is_repeatable=False,
                 permit=permit,
+                objective_at_ms=objective_at_ms,
             ) as exchange:
                 self.outcomes.append(exchange.answer.status)
         except CinderwayError as error:
