--- a/tools/guards.py
+++ b/tools/guards.py
@@ -37,6 +37,7 @@
 PUSHBACK_TESTS = "tests.entry.servers.test_pushback"
 LIMIT_TESTS = "tests.entry.servers.test_limits"
 SHARE_TESTS = "tests.pushback.test_rate_shares"
+TURN_TESTS = "tests.pushback.test_turns"
 
 GUARDS = [
     Guard(
@@ -333,7 +334,7 @@
         "pushback/_turns.py",
         "        if not self.share_per_s:\n            self._last_ms = now_ms\n",
         "",
-        SHARE_TESTS,
+        TURN_TESTS,
     ),
     Guard(
         "an entry that knows of no group sends nothing to a limited server",
