entry: log and a metric for the loss of all paths to backend servers

Cause: a request's line looks the same whether the servers that were tried have crashed or this entry reaches none, so the hypotheses of the incident could not be told apart. Change: the results of opening connections are counted over all services; three servers in a row that cannot be connected to are one log line and a gauge. No decision depends on it.

--- a/src/cinderway/entry/_blackboard.py
+++ b/src/cinderway/entry/_blackboard.py
@@ -14,6 +14,7 @@
 
 from cinderway._ids import DataHall, EntryName, ServerName, ServiceName
 from cinderway.entry._limit_watch import LimitWatch
+from cinderway.entry._uplink_log import UplinkLog
 from cinderway.limits import Admission, RetryBudget
 from cinderway.membership import Fleet
 from cinderway.pushback import (
@@ -22,6 +23,7 @@
     ServerLimits,
     ServerPushback,
 )
+from cinderway.reachability import Uplink
 from cinderway.routing import GoodAnswers, RouteTable, UnservedShare, decayed_load
 from cinderway.scheduling import WorkClass, WorkMix
 from cinderway.table import ServerRow, ServiceRow, Table
@@ -144,6 +146,8 @@
     # are listed again.
     pushback: PushbackStore = field(default_factory=PushbackStore)
     limits: LimitWatch = field(init=False)
+    # Whether this entry can connect to backend servers at all.
+    uplink: Uplink = field(default_factory=Uplink)
     is_table_trusted: bool = False
     is_leaving: bool = False
     in_flight: int = 0
@@ -163,6 +167,11 @@
     def __post_init__(self):
         self.pushback.entry = self.name
         self.limits = LimitWatch(self.pushback)
+        self.uplink.server_count = self._count_servers
+        self.uplink.on_change = UplinkLog(self.uplink).record_change
+
+    def _count_servers(self) -> int:
+        return sum(len(service.servers) for service in self.services.values())
 
     def find_mixed_class(self, work: WorkClass | None) -> WorkClass | None:
         """Return a class of work if others carry traffic beside it, else None."""
--- /dev/null
+++ b/tests/reachability/test_uplink.py
@@ -0,0 +1,47 @@
+"""Detection of the loss of all paths to backend servers."""
+
+import unittest
+
+from cinderway._ids import Address
+from cinderway.reachability import Uplink, UplinkState
+
+A, B, C = (Address(f"10.0.0.{n}:80") for n in range(3))
+
+
+class DetectionTests(unittest.TestCase):
+    def setUp(self):
+        self.changes = []
+        self.uplink = Uplink(on_change=lambda before, after: self.changes.append(after))
+
+    def fail(self, *servers):
+        for server in servers:
+            self.uplink.record_unreachable(server)
+
+    def test_several_servers_in_a_row_cut_an_entry_off(self):
+        self.fail(A, B)
+        self.assertIs(self.uplink.state, UplinkState.IN_DOUBT)
+        self.fail(C)
+        self.assertTrue(self.uplink.is_cut_off)
+        self.assertEqual(self.changes, [UplinkState.IN_DOUBT, UplinkState.CUT_OFF])
+
+    def test_one_server_that_failed_never_does(self):
+        self.fail(A, A, A, A)
+        self.assertIs(self.uplink.state, UplinkState.IN_DOUBT)
+
+    def test_a_connection_in_between_starts_the_count_anew(self):
+        self.fail(A, B)
+        self.uplink.record_connected(5)
+        self.fail(C)
+        self.assertIs(self.uplink.state, UplinkState.IN_DOUBT)
+
+    def test_one_connection_ends_it(self):
+        self.fail(A, B, C)
+        self.uplink.record_connected(5)
+        self.assertIs(self.uplink.state, UplinkState.CONNECTED)
+
+    def test_with_fewer_servers_all_of_them_must_fail(self):
+        self.uplink.server_count = lambda: 2
+        self.fail(A)
+        self.assertFalse(self.uplink.is_cut_off)
+        self.fail(B)
+        self.assertTrue(self.uplink.is_cut_off)
