entry: the loss of paths to servers is detected by service

Cause: an entry that reaches the servers of one service and none of another's was not seen. Change: one count of failed connections a service; log line and gauge name services.

--- a/src/cinderway/entry/_blackboard.py
+++ b/src/cinderway/entry/_blackboard.py
@@ -23,7 +23,7 @@
     ServerLimits,
     ServerPushback,
 )
-from cinderway.reachability import Uplink
+from cinderway.reachability import Uplinks, UplinkState
 from cinderway.routing import GoodAnswers, RouteTable, UnservedShare, decayed_load
 from cinderway.scheduling import WorkClass, WorkMix
 from cinderway.table import ServerRow, ServiceRow, Table
@@ -146,8 +146,8 @@
     # are listed again.
     pushback: PushbackStore = field(default_factory=PushbackStore)
     limits: LimitWatch = field(init=False)
-    # Whether this entry can connect to backend servers at all.
-    uplink: Uplink = field(default_factory=Uplink)
+    # Whether this entry can connect to the servers of each service at all.
+    uplinks: Uplinks = field(default_factory=Uplinks)
     is_table_trusted: bool = False
     is_leaving: bool = False
     in_flight: int = 0
@@ -167,11 +167,15 @@
     def __post_init__(self):
         self.pushback.entry = self.name
         self.limits = LimitWatch(self.pushback)
-        self.uplink.server_count = self._count_servers
-        self.uplink.on_change = UplinkLog(self.uplink).record_change
+        self.uplinks.count_servers = self._count_servers
+        self.uplinks.listeners.append(UplinkLog(self.uplinks).record_change)
 
-    def _count_servers(self) -> int:
-        return sum(len(service.servers) for service in self.services.values())
+    def _count_servers(self, service: ServiceName) -> int:
+        return len(self.services[service].servers) if service in self.services else 0
+
+    def count_cut_off_services(self) -> int:
+        """Return of how many services this entry can connect to no server."""
+        return len(self.uplinks.find_in_state(UplinkState.CUT_OFF))
 
     def find_mixed_class(self, work: WorkClass | None) -> WorkClass | None:
         """Return a class of work if others carry traffic beside it, else None."""
@@ -216,6 +220,7 @@
         """Update services and servers from their rows, keeping what was learned."""
         for name in self.services.keys() - rows.keys():
             del self.services[name]
+        self.uplinks.keep_only(rows)
         for name, row in rows.items():
             self._refresh_service(row, servers_of(name), now_ms)
         self.table_changed.set()
--- a/src/cinderway/entry/_catalog_daemon.py
+++ b/src/cinderway/entry/_catalog_daemon.py
@@ -61,7 +61,7 @@
         names=names,
         metrics=metrics,
         window_bytes=settings.server_window_kib * 1024,
-        uplink=board.uplink,
+        uplinks=board.uplinks,
     )
     dispatcher = Dispatcher(board, connections, evidence, metrics)
     identity = Identity(settings.name, settings.shared_key)
@@ -193,6 +193,6 @@
         "allowance_refusals": float(follower.allowances.refusals),
         "allowance_reserve_uses": float(follower.allowances.reserve_uses),
         "connections_opened": float(dispatcher.connections.opened),
-        "uplink_cut_off": float(board.uplink.is_cut_off),
+        "services_cut_off": float(board.count_cut_off_services()),
         "servers_ejected": float(sum(server.is_ejected for server in servers)),
     }
--- a/src/cinderway/entry/_daemon.py
+++ b/src/cinderway/entry/_daemon.py
@@ -46,7 +46,7 @@
     )
     identity = Identity(settings.name, settings.shared_key)
     metrics = Metrics()
-    connections = BackendConnections(metrics=metrics, uplink=board.uplink)
+    connections = BackendConnections(metrics=metrics, uplinks=board.uplinks)
     dispatcher = Dispatcher(board, connections, EvidenceLog(), metrics)
     async with anyio.create_task_group() as tasks, anyio.create_task_group() as runs:
         ledger = LedgerClient(settings.ledger, identity, tasks)
@@ -139,5 +139,5 @@
         "ejections": float(reporter.ejections),
         "held_by_floor": float(reporter.held_by_floor),
         "probes": float(prober.probes),
-        "uplink_cut_off": float(board.uplink.is_cut_off),
+        "services_cut_off": float(board.count_cut_off_services()),
     }
--- a/src/cinderway/entry/servers/_backends.py
+++ b/src/cinderway/entry/servers/_backends.py
@@ -36,7 +36,7 @@
     was_closed_unread,
 )
 from cinderway.limits import ConnectTimeout
-from cinderway.reachability import Uplink
+from cinderway.reachability import Uplinks
 from cinderway.wire import split_address
 
 # Bodies from this size on are sent in pieces and through a small send buffer, so that
@@ -272,7 +272,7 @@
     # entry. 0 leaves it to the operating system.
     window_bytes: int = 0
     connect_timeout: ConnectTimeout = field(default_factory=ConnectTimeout)
-    uplink: Uplink = field(default_factory=Uplink)
+    uplinks: Uplinks = field(default_factory=Uplinks)
 
     def __post_init__(self):
         self.idle: IdleConnections[_PooledConnection] = IdleConnections(
@@ -445,7 +445,7 @@
             if isinstance(error, TimeoutError):
                 self.connect_timeout.record_timeout()
             self.idle.record_rejected(terms.service, address, monotonic_ms())
-            self.uplink.record_unreachable(address)
+            self.uplinks.of(terms.service).record_unreachable(address)
             raise CinderwayError(
                 ErrorCode.BACKEND_FAILED,
                 f"cannot connect: {str(error) or 'timed out'}",
@@ -454,7 +454,7 @@
             ) from error
         self.opened += 1
         now_ms = monotonic_ms()
-        self.uplink.record_connected(now_ms)
+        self.uplinks.of(terms.service).record_connected(now_ms)
         self.connect_timeout.record_connect_time(now_ms - start_ms)
         self.idle.paths.record_connected(address, now_ms - start_ms, now_ms)
         self.idle.record_opened(terms.service, address)
--- a/src/cinderway/reachability/__init__.py
+++ b/src/cinderway/reachability/__init__.py
@@ -1,5 +1,5 @@
 """Whether an entry reaches backend servers itself."""
 
-from cinderway.reachability._uplink import Uplink, UplinkState
+from cinderway.reachability._uplink import Uplink, UplinkChange, Uplinks, UplinkState
 
-__all__ = ["Uplink", "UplinkState"]
+__all__ = ["Uplink", "UplinkChange", "UplinkState", "Uplinks"]
--- a/src/cinderway/reachability/_uplink.py
+++ b/src/cinderway/reachability/_uplink.py
@@ -1,14 +1,14 @@
-"""Detects that an entry can open no connection to any backend server. Pure.
+"""Detects that an entry can open no connection to a service's backend servers. Pure.
 
 A server that cannot be connected to has failed, or the entry's own path to the servers
-is cut. Connections to other servers tell the two apart.
+is cut. Connections to the service's other servers tell the two apart.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from enum import Enum
 
-from cinderway._ids import Address
+from cinderway._ids import Address, ServiceName
 
 # Servers in a row that cannot be connected to before the entry counts as cut off: two
 # servers often fail at the same time, three that are tried in a row rarely do.
@@ -16,7 +16,7 @@
 
 
 class UplinkState(Enum):
-    """Whether connections to backend servers can be opened."""
+    """Whether connections to a service's servers can be opened."""
 
     CONNECTED = "connected"
     # A server could not be connected to, and no connection was opened since.
@@ -24,20 +24,29 @@
     CUT_OFF = "cut-off"
 
 
-# Called with the states before and after a change.
-StateListener = Callable[[UplinkState, UplinkState], None]
+@dataclass(frozen=True)
+class UplinkChange:
+    """A change of the state of the paths to one service's servers."""
+
+    service: ServiceName
+    before: UplinkState
+    after: UplinkState
+
+
+ChangeListener = Callable[[UplinkChange], None]
 
 
 @dataclass
 class Uplink:
-    """The results of opening connections to backend servers, over all services.
+    """The results of opening connections to the servers of one service.
 
     `server_count` is the number of servers that the entry may connect to; fewer failed
     ones than CUT_OFF_AFTER_SERVERS suffice if there are no more.
     """
 
+    service: ServiceName
     server_count: Callable[[], int] = lambda: CUT_OFF_AFTER_SERVERS
-    on_change: StateListener | None = None
+    on_change: ChangeListener | None = None
     state: UplinkState = UplinkState.CONNECTED
     last_connected_at_ms: int | None = None
     # The servers that could not be connected to since the last opened connection.
@@ -70,4 +79,41 @@
             return
         before, self.state = self.state, state
         if self.on_change is not None:
-            self.on_change(before, state)
+            self.on_change(UplinkChange(self.service, before, state))
+
+
+@dataclass
+class Uplinks:
+    """The uplinks of one entry, one for each service.
+
+    `count_servers` returns how many servers of a service the entry may connect to.
+    """
+
+    count_servers: Callable[[ServiceName], int] = lambda service: CUT_OFF_AFTER_SERVERS
+    listeners: list[ChangeListener] = field(default_factory=list)
+    _by_service: dict[ServiceName, Uplink] = field(default_factory=dict)
+
+    def of(self, service: ServiceName) -> Uplink:
+        """Return the uplink to a service's servers."""
+        found = self._by_service.get(service)
+        if found is None:
+            found = self._by_service[service] = Uplink(
+                service, lambda: self.count_servers(service), self._notify
+            )
+        return found
+
+    def keep_only(self, services: Collection[ServiceName]) -> None:
+        """Forget the uplinks of all services but these."""
+        self._by_service = {
+            service: uplink
+            for service, uplink in self._by_service.items()
+            if service in services
+        }
+
+    def find_in_state(self, state: UplinkState) -> list[Uplink]:
+        """Return the uplinks that are in a state."""
+        return [u for u in self._by_service.values() if u.state is state]
+
+    def _notify(self, change: UplinkChange) -> None:
+        for listener in self.listeners:
+            listener(change)
--- a/tests/reachability/test_uplink.py
+++ b/tests/reachability/test_uplink.py
@@ -2,16 +2,19 @@
 
 import unittest
 
-from cinderway._ids import Address
-from cinderway.reachability import Uplink, UplinkState
+from cinderway._ids import Address, ServiceName
+from cinderway.reachability import Uplink, Uplinks, UplinkState
 
+LOOKUP, SUBMIT = ServiceName("lookup"), ServiceName("submit")
 A, B, C = (Address(f"10.0.0.{n}:80") for n in range(3))
 
 
 class DetectionTests(unittest.TestCase):
     def setUp(self):
         self.changes = []
-        self.uplink = Uplink(on_change=lambda before, after: self.changes.append(after))
+        self.uplink = Uplink(
+            LOOKUP, on_change=lambda change: self.changes.append(change.after)
+        )
 
     def fail(self, *servers):
         for server in servers:
@@ -45,3 +48,15 @@
         self.assertFalse(self.uplink.is_cut_off)
         self.fail(B)
         self.assertTrue(self.uplink.is_cut_off)
+
+
+class ServicesTests(unittest.TestCase):
+    def test_services_are_told_apart(self):
+        uplinks = Uplinks()
+        for server in (A, B, C):
+            uplinks.of(LOOKUP).record_unreachable(server)
+        uplinks.of(SUBMIT).record_connected(5)
+        cut_off = uplinks.find_in_state(UplinkState.CUT_OFF)
+        self.assertEqual([uplink.service for uplink in cut_off], [LOOKUP])
+        uplinks.keep_only([SUBMIT])
+        self.assertEqual(uplinks.find_in_state(UplinkState.CUT_OFF), [])
