--- a/src/cinderway/experiment/_callers.py
+++ b/src/cinderway/experiment/_callers.py
@@ -10,7 +10,7 @@
 import anyio
 
 from cinderway._clock import monotonic_ms
-from cinderway._ids import DataHall
+from cinderway._ids import DataHall, EntryName
 from cinderway.entry.servers._messages import ATTEMPT_HEADER, DEADLINE_HEADER
 from cinderway.experiment._declaration import Experiment, ModelRoute
 from cinderway.experiment._entries import ModelEntry
@@ -33,7 +33,10 @@
 
 @dataclass(frozen=True)
 class RequestResult:
-    """One request, from its first attempt to its end, in virtual time."""
+    """One request, from its first attempt to its end, in virtual time.
+
+    `entry` got its first attempt, if any entry was alive.
+    """
 
     route: str
     data_hall: DataHall
@@ -41,6 +44,7 @@
     latency_ms: int
     outcome: Outcome
     attempt_count: int = 1
+    entry: EntryName | None = None
 
 
 class _ResponseRecorder:
@@ -93,6 +97,7 @@
     sent_at_ms = monotonic_ms()
     deadline_at_ms = sent_at_ms + route.deadline_ms
     attempt_count = 0
+    first_entry: EntryName | None = None
     while True:
         attempt_count += 1
         if not entries:
@@ -100,6 +105,7 @@
             answer = _ResponseRecorder()
             break
         entry = rng.choice(entries)
+        first_entry = first_entry or entry.name
         answer = await _send_attempt(
             experiment, route, path, entry, deadline_at_ms, rng
         )
@@ -113,7 +119,7 @@
     latency_ms = monotonic_ms() - sent_at_ms
     outcome = _classify(answer.status, latency_ms, route)
     return RequestResult(
-        route.name, hall, sent_at_ms, latency_ms, outcome, attempt_count
+        route.name, hall, sent_at_ms, latency_ms, outcome, attempt_count, first_entry
     )
 
 
--- a/src/cinderway/experiment/_connections.py
+++ b/src/cinderway/experiment/_connections.py
@@ -30,6 +30,7 @@
 from cinderway.entry.servers._messages import BackendAnswer, BackendRequest
 from cinderway.experiment._declaration import (
     ConnectionPolicy,
+    CutMode,
     Experiment,
     PoisonRequest,
 )
@@ -40,6 +41,7 @@
     Work,
 )
 from cinderway.limits import ConnectTimeout
+from cinderway.reachability import Uplinks
 
 
 @dataclass
@@ -50,7 +52,8 @@
     `reused` the requests sent on kept ones, and `closed_under_request` those that met a
     connection which the server had closed. `lost_to_closes` of these may run only once
     and got no answer. `cross_hall_bytes` adds up the sizes of answers from other data
-    halls. `is_dark`: the entry has lost power.
+    halls. `is_dark`: the entry has lost power. `cuts` has the services whose servers
+    cannot be reached from the entry.
     """
 
     experiment: Experiment
@@ -63,6 +66,8 @@
     lost_to_closes: int = 0
     cross_hall_bytes: int = 0
     is_dark: bool = False
+    uplinks: Uplinks = field(default_factory=Uplinks)
+    cuts: dict[ServiceName, CutMode] = field(default_factory=dict)
     _connect_timeout: ConnectTimeout = field(default_factory=ConnectTimeout)
 
     def __post_init__(self):
@@ -151,6 +156,11 @@
         work = self._work_by_path.get(request.target.split(b"/", 2)[1])
         answer = await self._run_on_server(server, deadline_ms, work, poison)
         await anyio.sleep(one_way_s)
+        match self.cuts.get(server.service.name):
+            case CutMode.HANG:
+                await anyio.sleep_forever()
+            case CutMode.RESET:
+                answer = None
         if answer is None:
             self._record_lost(connection, started_at_ms)
             raise _build_lost_error(server.address)
@@ -233,16 +243,16 @@
         address = server.address
         self.idle.pop_oldest_if_full(address, terms)
         self._close_discarded()
-        if server.is_dark:
+        cut = self.cuts.get(server.service.name)
+        if server.is_dark or cut is CutMode.HANG:
             await anyio.sleep(self._connect_timeout.current_ms / 1000)
             self._connect_timeout.record_timeout()
-            self.idle.record_rejected(terms.service, address, monotonic_ms())
-            raise _build_connect_error(address, "timed out")
+            raise self._record_connect_failure(server, "timed out")
         connect_s = 2 * one_way_s + server.service.accept_ms / 1000
         await anyio.sleep(connect_s)
-        if server.is_down:
-            self.idle.record_rejected(terms.service, address, monotonic_ms())
-            raise _build_connect_error(address, "refused")
+        if server.is_down or cut is not None:
+            raise self._record_connect_failure(server, "refused")
+        self.uplinks.of(server.service.name).record_connected(monotonic_ms())
         self._connect_timeout.record_connect_time(1000 * connect_s)
         self.idle.paths.record_connected(address, 1000 * connect_s, monotonic_ms())
         self.idle.record_opened(terms.service, address)
@@ -251,6 +261,14 @@
             self, server, terms.service, terms.connection_limit, one_way_s
         )
 
+    def _record_connect_failure(
+        self, server: ModelServer, reason: str
+    ) -> CinderwayError:
+        service = server.service.name
+        self.idle.record_rejected(service, server.address, monotonic_ms())
+        self.uplinks.of(service).record_unreachable(server.address)
+        return _build_connect_error(server.address, reason)
+
     async def _run_on_server(
         self,
         server: ModelServer,
--- a/src/cinderway/experiment/_declaration.py
+++ b/src/cinderway/experiment/_declaration.py
@@ -154,13 +154,28 @@
     LIMITED_SERVERS = "limited-servers"
     # Callers send `factor` times as many requests.
     SURGE = "surge"
+    # Entries lose their paths to servers, and keep those to callers, to their control
+    # replica and to each other.
+    CUT_OFF_ENTRIES = "cut-off-entries"
+
+
+class CutMode(Enum):
+    """What happens to an entry's connections to servers while it is cut off."""
+
+    # Nothing arrives on open ones, and new ones time out.
+    HANG = "hang"
+    # Open ones are reset, and new ones refused.
+    RESET = "reset"
+    # Open ones go on, and new ones are refused.
+    REFUSE_NEW = "refuse-new"
 
 
 class Fault(_Table):
     """A fault from `at_ms` on, for `for_ms`.
 
     It affects the share `share` of the entries or servers, of one service only if
-    `service` is given. A surge affects all callers.
+    `service` is given, and entries of one data hall only if `hall` is given. A surge
+    affects all callers.
     """
 
     kind: FaultKind
@@ -169,6 +184,8 @@
     share: float = 1.0
     factor: float = 1.0
     service: ServiceName | None = None
+    hall: DataHall | None = None
+    cut: CutMode = CutMode.HANG
 
 
 class Experiment(_Table):
@@ -223,6 +240,12 @@
     services = {service.name for service in experiment.services}
     references = [("route", route.name, route.service) for route in experiment.routes]
     references += [("fault", f.kind.value, f.service) for f in experiment.faults]
+    for fault in experiment.faults:
+        if fault.hall is not None and fault.hall not in experiment.halls:
+            allowed = ", ".join(experiment.halls)
+            raise _invalid_setting(
+                f"fault {fault.kind.value}: hall {fault.hall!r}; allowed: {allowed}"
+            )
     for what, name, service in references:
         if service is not None and service not in services:
             allowed = ", ".join(sorted(services))
--- a/src/cinderway/experiment/_entries.py
+++ b/src/cinderway/experiment/_entries.py
@@ -76,7 +76,11 @@
         evidence = EvidenceLog()
         self.state = CatalogBoard(board, evidence, experiment.retry_percent)
         self.connections = ModelConnections(
-            experiment, self.servers, self.data_hall, self.tasks
+            experiment,
+            self.servers,
+            self.data_hall,
+            self.tasks,
+            uplinks=board.uplinks,
         )
         dispatcher = Dispatcher(board, self.connections, evidence)
         attempts = Attempts(
--- a/src/cinderway/experiment/_run.py
+++ b/src/cinderway/experiment/_run.py
@@ -85,6 +85,7 @@
     poison_results: list[RequestResult] = field(default_factory=list)
     # Servers that advertised a rate limit.
     limited_servers: list[LimitedServer] = field(default_factory=list)
+    cut_off_entries: set[EntryName] = field(default_factory=set)
 
 
 def play(experiment: Experiment, seed: int) -> PlayResult:
@@ -248,6 +249,8 @@
         match fault.kind:
             case FaultKind.POWER_LOSS:
                 await self._apply_power_loss(fault)
+            case FaultKind.CUT_OFF_ENTRIES:
+                await self._cut_entries_off(fault)
             case FaultKind.SURGE:
                 self.surge_factor = fault.factor
                 await anyio.sleep(fault.for_ms / 1000)
@@ -287,6 +290,23 @@
         ]
         return self.rng.sample(candidates, round(fault.share * len(candidates)))
 
+    async def _cut_entries_off(self, fault: Fault) -> None:
+        halls = self.experiment.halls if fault.hall is None else [fault.hall]
+        alive = [entry for hall in halls for entry in self.entries[hall]]
+        affected = self.rng.sample(alive, round(fault.share * len(alive)))
+        services = [
+            service.name
+            for service in self.experiment.services
+            if fault.service in (None, service.name)
+        ]
+        for entry in affected:
+            self.play_result.cut_off_entries.add(entry.name)
+            entry.connections.cuts.update(dict.fromkeys(services, fault.cut))
+        await anyio.sleep(fault.for_ms / 1000)
+        for entry in affected:
+            for service in services:
+                entry.connections.cuts.pop(service, None)
+
     async def _apply_power_loss(self, fault: Fault) -> None:
         alive = [entry for entries in self.entries.values() for entry in entries]
         affected = self.rng.sample(alive, round(fault.share * len(alive)))
