entry: other entries relay requests while a service's servers cannot be reached

Cause: an entry had no path to a server but its own, and took the loss of it for the failure of all servers. What it reported made healthy servers suspect everywhere, and two were ejected. Evidence: none of 214 requests of any kind was answered in 7 s of the cut, with the sheet half a second old at most and other entries serving. Ruled out: readiness alone (open connections stay, and where most of a hall is cut off the load balancer uses all of it); longer patience (nothing was answered within 3.9 s). Change: three servers of a service in a row that cannot be connected to cut an entry off from it, and connections opened for that purpose settle each doubt. Until one opens again, an attempt goes through another entry: server, slot, tokens, retries and hedges stay with the asking one, the relaying one checks what the server asked of it and observes it. A refusal to relay promises that nothing was sent; a lost relay leaves the outcome unknown. Failures that the cut would explain (unreachable, cut, overdue, broken runs) are recorded only once another server is reached.

--- a/src/cinderway/_settings/_catalog_roles.py
+++ b/src/cinderway/_settings/_catalog_roles.py
@@ -137,8 +137,8 @@
     peers_listen: Address = setting(
         parse_optional_address,
         f"{ADDRESS_FORM}, or nothing",
-        "UDP address for gossip between the entries of a data hall while no control "
-        "replica is reachable.",
+        "Address for other entries: UDP for gossip in the data hall while no control "
+        "replica is reachable, TCP for requests that entries relay for each other.",
         "",
     )
     shared_key: bytes = shared_key_field()
--- a/src/cinderway/catalog/_conversation.py
+++ b/src/cinderway/catalog/_conversation.py
@@ -206,18 +206,25 @@
     They cover servers to which the entry has just sent a request, or from which it has
     just received an answer. The replica that it follows forwards them to the other
     entries of the data hall.
+
+    A replica also sends other replicas the addresses of entries that follow it, at
+    which they relay requests; None if the message is about servers alone.
     """
 
     servers: list[ServerLoad]
+    relays: list[Address] | None = None
 
 
 class HallEntries(Message, frozen=True):
-    """The addresses at which the entries of a data hall receive each other's gossip.
+    """The addresses of other entries.
 
-    They use them while no control replica is reachable.
+    At `addresses` the entries of a data hall receive each other's gossip, which they
+    send while no control replica is reachable. At these and at `relays`, those of other
+    entries of the fleet, entries relay requests for each other.
     """
 
     addresses: list[Address]
+    relays: list[Address] = []
 
 
 class HeldAllowance(PackedRow, frozen=True):
--- a/src/cinderway/entry/_blackboard.py
+++ b/src/cinderway/entry/_blackboard.py
@@ -23,7 +23,7 @@
     ServerLimits,
     ServerPushback,
 )
-from cinderway.reachability import Uplinks, UplinkState
+from cinderway.reachability import Observation, Uplinks, UplinkState
 from cinderway.routing import GoodAnswers, RouteTable, UnservedShare, decayed_load
 from cinderway.scheduling import WorkClass, WorkMix
 from cinderway.table import ServerRow, ServiceRow, Table
@@ -177,6 +177,12 @@
         """Return of how many services this entry can connect to no server."""
         return len(self.uplinks.find_in_state(UplinkState.CUT_OFF))
 
+    def defer(self, server: ServerName, record: Observation) -> None:
+        """Record a failure at a server once this entry is known to reach others."""
+        for name, service in self.services.items():
+            if server in service.servers:
+                self.uplinks.of(name).defer(record)
+
     def find_mixed_class(self, work: WorkClass | None) -> WorkClass | None:
         """Return a class of work if others carry traffic beside it, else None."""
         mix = None if work is None else self.mixes.get(work.service)
--- a/src/cinderway/entry/_catalog_board.py
+++ b/src/cinderway/entry/_catalog_board.py
@@ -17,6 +17,7 @@
     AccountRow,
     CatalogMirror,
     CatalogUpdate,
+    HallEntries,
     RegisteredServer,
     RouteIndex,
     RouteSheet,
@@ -40,6 +41,7 @@
 from cinderway.limits import RetryBudget
 from cinderway.poison import RequestRulings, RequestRuns
 from cinderway.pushback import FleetEntries, ServerLimits
+from cinderway.reachability import RelayPeers
 from cinderway.scheduling import WorkMix, find_shared_services
 from cinderway.table import ServerRow, ServerState as ListedState, ServiceRow
 from cinderway.wire import Message
@@ -70,6 +72,8 @@
     # Addresses at which the data hall's entries reach each other while control is
     # unreachable.
     peers: list[Address] = field(default_factory=list)
+    # The entries that can relay this one's requests.
+    relay_peers: RelayPeers = field(default_factory=RelayPeers)
     # Servers with a line in the last verdicts; all others are healthy.
     _servers_with_verdicts: set[ServerName] = field(default_factory=set)
     _unreported_suspects: dict[ServerName, int] = field(default_factory=dict)
@@ -91,6 +95,7 @@
         self.board.on_rejection = self._record_rejection
         self.board.on_good_answer = self._suspicions.record_good
         self.poison.on_refusal = self.board.wake_waiting_requests
+        self.poison.defer = self.board.defer
 
     @property
     def is_ready(self) -> bool:
@@ -236,6 +241,12 @@
             case RequestRulings():
                 self.poison.receive_rulings(message)
 
+    def receive_hall_entries(self, entries: HallEntries, own_address: Address) -> None:
+        """Apply the addresses of other entries that a replica sent."""
+        self.peers = entries.addresses
+        self.relay_peers.own_hall = [a for a in entries.addresses if a != own_address]
+        self.relay_peers.other_halls = [a for a in entries.relays if a != own_address]
+
     def receive_loads(self, message: ServerLoads, now_ms: int) -> None:
         """Apply the loads that other entries of the data hall reported."""
         for reported in message.servers:
--- a/src/cinderway/entry/_catalog_daemon.py
+++ b/src/cinderway/entry/_catalog_daemon.py
@@ -28,15 +28,18 @@
 from cinderway.entry.callers._route_handler import RouteHandler
 from cinderway.entry.fleet._catalog_follower import CatalogFollower
 from cinderway.entry.fleet._hall_peers import HallPeers
+from cinderway.entry.fleet._relay_server import RelayServer
 from cinderway.entry.servers._backends import BackendConnections
 from cinderway.entry.servers._dispatch import Dispatcher
 from cinderway.entry.servers._messages import (
     HeaderNames,
 )
+from cinderway.entry.servers._relays import Relays
+from cinderway.entry.servers._uplink_check import UplinkCheck
 from cinderway.judgement import EvidenceLog
 from cinderway.limits import HeldBytes
 from cinderway.poison import RequestDigests
-from cinderway.wire import Identity
+from cinderway.wire import Identity, serve_connections
 
 logger = logging.getLogger(__name__)
 
@@ -98,11 +101,15 @@
             may_run_ahead=handler.may_run_ahead,
         ),
     )
+    relay_server = RelayServer(board, dispatcher, state.poison, metrics)
+    check = UplinkCheck(board, connections)
+    dispatcher.relays = Relays(board, state.relay_peers, identity, names, metrics)
     async with anyio.create_task_group() as tasks:
         watch = SettingsWatcher(settings, follower.apply_settings)
         tasks.start_soon(watch.run)
         tasks.start_soon(run_with_restarts, "catalog follower", follower.run)
         tasks.start_soon(run_with_restarts, "idle connections", connections.run)
+        tasks.start_soon(run_with_restarts, "uplink check", check.run)
         if settings.peers_listen:
             peers = HallPeers(
                 state,
@@ -112,10 +119,14 @@
                 follower.wait_disconnected,
             )
             tasks.start_soon(run_with_restarts, "hall peers", peers.run)
+            routes = (relay_server.route,)
+            await tasks.start(
+                serve_connections, settings.peers_listen, routes, identity
+            )
         await tasks.start(
             serve_operators,
             settings.operators_listen,
-            lambda: _gauges(state, dispatcher, follower, handler),
+            lambda: _gauges(state, dispatcher, follower, handler, relay_server),
             lambda: state.is_ready,
             metrics,
         )
@@ -175,6 +186,7 @@
     dispatcher: Dispatcher,
     follower: CatalogFollower,
     handler: RouteHandler,
+    relay_server: RelayServer,
 ) -> dict[str, float]:
     board = state.board
     servers = [
@@ -193,6 +205,7 @@
         "allowance_refusals": float(follower.allowances.refusals),
         "allowance_reserve_uses": float(follower.allowances.reserve_uses),
         "connections_opened": float(dispatcher.connections.opened),
+        "relays_in_progress": float(relay_server.in_progress),
         "services_cut_off": float(board.count_cut_off_services()),
         "servers_ejected": float(sum(server.is_ejected for server in servers)),
     }
--- a/src/cinderway/entry/_poison_watch.py
+++ b/src/cinderway/entry/_poison_watch.py
@@ -39,6 +39,9 @@
     tally: PoisonTally = field(default_factory=PoisonTally)
     # Called whenever a request begins to be refused.
     on_refusal: Callable[[], None] | None = None
+    # Called with the server and the reporting of a broken run; reports it once the
+    # server, and not this entry's own connections, is known to have broken it.
+    defer: Callable[[ServerName, Callable[[], None]], None] | None = None
     has_changes: anyio.Event = field(default_factory=anyio.Event)
     _unreported_ends: deque[EndedRun] = field(
         default_factory=lambda: deque(maxlen=REPORT_LIMIT)
@@ -63,8 +66,15 @@
 
     def record_broken_run(self, digest: RequestDigest, server: ServerName) -> None:
         """Record that a server ended while it was running a request."""
-        self._unreported_ends.append(EndedRun(digest, server))
         self._handle_ruling(self.tally.record_end(digest, server, monotonic_ms()))
+        end = EndedRun(digest, server)
+        if self.defer is None:
+            self._queue_end(end)
+        else:
+            self.defer(server, lambda: self._queue_end(end))
+
+    def _queue_end(self, end: EndedRun) -> None:
+        self._unreported_ends.append(end)
         self.has_changes.set()
 
     def record_good_answer(self, digest: RequestDigest) -> None:
--- a/src/cinderway/entry/callers/_poison_permit.py
+++ b/src/cinderway/entry/callers/_poison_permit.py
@@ -8,14 +8,11 @@
 from cinderway._ids import AttemptId, RequestDigest, ServerName
 from cinderway._operators import Metrics
 from cinderway.entry._poison_watch import PoisonWatch
-from cinderway.entry.servers._permit import Permit
+from cinderway.entry.servers._permit import UNKNOWN_DIGEST, Permit
 from cinderway.poison import Ruling
 
 logger = logging.getLogger(__name__)
 
-# Digest of a request whose body has not arrived yet; no real digest equals it.
-UNKNOWN_DIGEST = RequestDigest(b"")
-
 
 class PoisonError(RetryLaterError):
     """The request is refused for now, because servers end while they run it."""
@@ -41,7 +38,7 @@
     watch: PoisonWatch
     metrics: Metrics
     origin: str = ""
-    # Digest that all repeats of the request share; known once the body is read.
+    # Known once the body is read.
     digest: RequestDigest = UNKNOWN_DIGEST
     attempt_id: AttemptId | None = None
 
--- a/src/cinderway/entry/fleet/_catalog_follower.py
+++ b/src/cinderway/entry/fleet/_catalog_follower.py
@@ -299,8 +299,8 @@
                 self._apply_reserve(message, now_ms)
             case ServerLoads():
                 self.state.receive_fleet_loads(message, now_ms)
-            case HallEntries(addresses=addresses):
-                self.state.peers = addresses
+            case HallEntries():
+                self.state.receive_hall_entries(message, self.settings.peers_listen)
             case RetryAnswer() | GrantAllowances():
                 self._requests.receive_answer(envelope.call_id, message)
             case VerdictBatch():
--- a/src/cinderway/entry/servers/_backends.py
+++ b/src/cinderway/entry/servers/_backends.py
@@ -431,6 +431,20 @@
         for connection in self.idle.pop_discarded():
             await connection.aclose()
 
+    async def check(self, service: ServiceName, address: Address) -> None:
+        """Open a connection to a server and close it; record whether it opened."""
+        host, port = split_address(address)
+        uplink = self.uplinks.of(service)
+        try:
+            with anyio.fail_after(self.connect_timeout.base_ms / 1000):
+                stream = await open_stream(host.strip("[]"), port, self.window_bytes)
+        except (OSError, TimeoutError):
+            uplink.record_unreachable(address)
+            return
+        self.opened += 1
+        uplink.record_connected(monotonic_ms())
+        await anyio.aclose_forcefully(stream)
+
     async def _connect(self, address: Address, terms: ReuseTerms) -> _PooledConnection:
         self.idle.pop_oldest_if_full(address, terms)
         await self._close_discarded()
--- a/src/cinderway/entry/servers/_dispatch.py
+++ b/src/cinderway/entry/servers/_dispatch.py
@@ -8,7 +8,7 @@
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway._ids import AttemptId, ServerName
+from cinderway._ids import AttemptId, ServerName, ServiceName
 from cinderway._operators import Metrics
 from cinderway.entry._blackboard import Blackboard, ServerState, ServiceState
 from cinderway.entry.servers._backends import (
@@ -24,6 +24,7 @@
 )
 from cinderway.entry.servers._notes import AttemptRecorder, OutgoingAttempt
 from cinderway.entry.servers._permit import UNLIMITED, Permit
+from cinderway.entry.servers._relays import RelayError, RequestRelays
 from cinderway.entry.servers._send_checks import check_rate_limit, check_server
 from cinderway.entry.servers._slots import SlotRequirements, Slots
 from cinderway.judgement import (
@@ -32,7 +33,8 @@
     EvidenceLog,
     FailureKind,
 )
-from cinderway.pushback import RateToken
+from cinderway.pushback import HELD_TOKEN, RateToken
+from cinderway.reachability import Observation, UplinkChange, UplinkState
 from cinderway.routing import DEFAULT_PENALTIES, Penalties
 from cinderway.scheduling import WorkClass
 
@@ -56,7 +58,9 @@
     permit: Permit = UNLIMITED
 
     def record_broken_connection(self) -> None:
-        """Record that the connection broke before the end of the response."""
+        """Record that the server's connection broke before the end of the response."""
+        if self.attempt.is_excluded:
+            return
         run_ms = monotonic_ms() - self.started_at_ms
         self.permit.record_failed_run(self.server.row.name, run_ms)
 
@@ -69,14 +73,25 @@
     connections: BackendConnections
     evidence: EvidenceLog
     metrics: Metrics = field(default_factory=Metrics)
+    # How requests are sent while servers cannot be connected to; None if only directly.
+    relays: RequestRelays | None = None
     sheds: int = 0
     attempts: int = 0
     _attempt_count: int = field(default=0)
 
     def __post_init__(self):
+        self.evidence.defer = self._defer
+        self.board.uplinks.listeners.append(self._handle_uplink_change)
         self.slots = Slots(self.board, self.connections, self.evidence)
         self.recorder = AttemptRecorder(self.board, self.evidence, self.metrics)
 
+    def _defer(self, service: ServiceName, record: Observation) -> None:
+        self.board.uplinks.of(service).defer(record)
+
+    def _handle_uplink_change(self, change: UplinkChange) -> None:
+        if change.after is UplinkState.CUT_OFF:
+            self.evidence.exclude_service(change.service)
+
     def new_attempt_id(self) -> AttemptId:
         """Return an attempt id that is unique in the fleet."""
         self._attempt_count += 1
@@ -167,6 +182,47 @@
             self.recorder.record_end(server)
             service.free_slot()
 
+    @asynccontextmanager
+    async def relay(
+        self,
+        service: ServiceState,
+        server: ServerState,
+        request: BackendRequest,
+        attempt_id: AttemptId,
+        deadline_ms: int,
+        *,
+        is_repeatable: bool,
+        permit: Permit,
+        record_use: UseRecorder = ignore_use,
+    ) -> AsyncIterator[Exchange]:
+        """Send another entry's request to the server that it chose for it.
+
+        The other entry counts the request, and holds its slot and its token of the
+        server's rate limit. Raises CinderwayError as `exchange` does.
+        """
+        attempt = self.evidence.start_attempt(
+            service.row.name, server.row.name, monotonic_ms()
+        )
+        outgoing = OutgoingAttempt(service, server, attempt, attempt_id, HELD_TOKEN)
+        try:
+            started_at_ms = monotonic_ms()
+            answer = await self._send_directly(
+                outgoing,
+                request,
+                deadline_ms,
+                permit,
+                is_repeatable=is_repeatable,
+                record_use=record_use,
+            )
+            try:
+                self._apply_head(outgoing, answer)
+                yield Exchange(answer, server, attempt, started_at_ms, permit)
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await answer.aclose()
+        finally:
+            self.evidence.end_attempt(attempt)
+
     async def probe(
         self,
         service: ServiceState,
@@ -220,6 +276,73 @@
         *,
         is_repeatable: bool,
         record_use: UseRecorder = ignore_use,
+    ) -> BackendAnswer:
+        """Send a request to the chosen server, directly or through another entry."""
+        uplink = self.board.uplinks.of(outgoing.service.row.name)
+        is_relayed = (
+            uplink.is_cut_off
+            and self.relays is not None
+            and self.relays.can_relay(monotonic_ms())
+        )
+        send = self._send_relayed if is_relayed else self._send_directly
+        return await send(
+            outgoing,
+            request,
+            deadline_ms,
+            permit,
+            is_repeatable=is_repeatable,
+            record_use=record_use,
+        )
+
+    async def _send_relayed(
+        self,
+        outgoing: OutgoingAttempt,
+        request: BackendRequest,
+        deadline_ms: int,
+        permit: Permit,
+        *,
+        is_repeatable: bool,
+        record_use: UseRecorder,
+    ) -> BackendAnswer:
+        """Send a request through another entry, which records failures itself."""
+        self.attempts += 1
+        self.evidence.exclude(outgoing.attempt)
+        server = outgoing.server
+        is_sent = True
+        try:
+            with anyio.fail_after(max(deadline_ms - monotonic_ms(), 0) / 1000):
+                return await self.relays.send(
+                    outgoing,
+                    request,
+                    deadline_ms,
+                    digest=permit.digest,
+                    is_repeatable=is_repeatable,
+                    objection=lambda: _check_before_write(outgoing, permit),
+                    record_use=record_use,
+                )
+        except TimeoutError as error:
+            raise _build_timeout_error(server) from error
+        except CinderwayError as error:
+            is_sent = error.step not in (Step.CONNECT, Step.QUEUE)
+            if error.step is Step.QUEUE:
+                self.recorder.record_held_back(outgoing, error)
+            elif isinstance(error, RelayError) and error.is_connection_lost:
+                run_ms = monotonic_ms() - outgoing.attempt.piece_started_at_ms
+                permit.record_failed_run(server.row.name, run_ms)
+            raise
+        finally:
+            if not is_sent:
+                outgoing.token.release()
+
+    async def _send_directly(
+        self,
+        outgoing: OutgoingAttempt,
+        request: BackendRequest,
+        deadline_ms: int,
+        permit: Permit,
+        *,
+        is_repeatable: bool,
+        record_use: UseRecorder = ignore_use,
     ) -> BackendAnswer:
         """Send a request to the chosen server; record failures."""
         service, server, attempt = outgoing.service, outgoing.server, outgoing.attempt
@@ -256,12 +379,7 @@
                 )
         except TimeoutError as error:
             self.evidence.record_failure(attempt, FailureKind.OVERDUE)
-            raise CinderwayError(
-                ErrorCode.DEADLINE_PASSED,
-                "no response before the deadline",
-                step=Step.AWAIT_ANSWER,
-                peer=server.row.address,
-            ) from error
+            raise _build_timeout_error(server) from error
         except CinderwayError as error:
             if error.step is Step.CONNECT:
                 # It may have been written to a connection that was closed unread.
@@ -285,6 +403,9 @@
     def _apply_head(self, outgoing: OutgoingAttempt, answer: BackendAnswer) -> None:
         """Apply a response's headers; raise if the server did not run the request."""
         now_ms, server = monotonic_ms(), outgoing.server
+        if not outgoing.attempt.is_excluded:
+            # Before the answer is recorded: an overdue request may be the one answered.
+            self.board.uplinks.of(outgoing.service.row.name).record_answer()
         self.recorder.record_head(outgoing, answer, now_ms)
         if answer.is_misdirected:
             # Another server now has this address, so the expected server is gone.
@@ -328,6 +449,15 @@
     return error or refusal or check_rate_limit(outgoing.server, outgoing.token, now_ms)
 
 
+def _build_timeout_error(server: ServerState) -> CinderwayError:
+    return CinderwayError(
+        ErrorCode.DEADLINE_PASSED,
+        "no response before the deadline",
+        step=Step.AWAIT_ANSWER,
+        peer=server.row.address,
+    )
+
+
 def _build_not_run_error(
     server: ServerState, code: ErrorCode, detail: str
 ) -> CinderwayError:
--- a/src/cinderway/entry/servers/_idle_connections.py
+++ b/src/cinderway/entry/servers/_idle_connections.py
@@ -39,6 +39,8 @@
 
     NEW = "new"
     KEPT = "kept"
+    # A connection of another entry.
+    RELAYED = "relayed"
 
 
 class EndCause(Enum):
--- a/src/cinderway/entry/servers/_permit.py
+++ b/src/cinderway/entry/servers/_permit.py
@@ -1,15 +1,21 @@
 """Permission to send one request to backend servers."""
 
 from cinderway._errors import CinderwayError
-from cinderway._ids import ServerName
+from cinderway._ids import RequestDigest, ServerName
+
+# The digest of a request that is not known; no real digest equals it.
+UNKNOWN_DIGEST = RequestDigest(b"")
 
 
 class Permit:
     """Permission to send a request; is informed of the results of its runs.
 
-    This base class permits every request.
+    This base class permits every request. `digest` is shared by all repeats of the
+    request.
     """
 
+    digest: RequestDigest = UNKNOWN_DIGEST
+
     @property
     def is_valid(self) -> bool:
         """Whether the request may still be sent."""
--- /dev/null
+++ b/src/cinderway/entry/servers/_relays.py
@@ -0,0 +1,284 @@
+"""Sends requests through other entries while no server of a service can be reached.
+
+One request uses one connection to one entry, which sends it to the server that was
+chosen here, and passes the answer on as it arrives. Slots, retries, hedges and tokens
+stay with this entry. What the answers say about servers is observed by the other one.
+"""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import anyio
+import httpcore
+
+from cinderway._clock import monotonic_ms
+from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._ids import Address, RequestDigest
+from cinderway._operators import Metrics
+from cinderway.entry._blackboard import Blackboard
+from cinderway.entry.servers._backends import (
+    LARGE_BODY_BYTES,
+    SEND_PIECE_BYTES,
+    Objection,
+    UseRecorder,
+)
+from cinderway.entry.servers._idle_connections import ConnectionUse
+from cinderway.entry.servers._messages import (
+    BackendAnswer,
+    BackendRequest,
+    HeaderNames,
+)
+from cinderway.entry.servers._notes import OutgoingAttempt
+from cinderway.limits import ConnectTimeout
+from cinderway.reachability import (
+    RELAY,
+    PeerFailure,
+    RelayAccepted,
+    RelayBody,
+    RelayedEnd,
+    RelayedFailure,
+    RelayedHead,
+    RelayPeers,
+    RelayRefused,
+    RelayRequest,
+)
+from cinderway.wire import Connection, Identity, Message, connect
+
+# Entries that one attempt asks. Right after a data hall is cut off, most of the own
+# hall's entries refuse.
+PEER_LIMIT = 4
+
+
+class RelayError(CinderwayError):
+    """A request did not get a server's answer through another entry.
+
+    It is no observation of the server by this entry. With step CONNECT no server got
+    the request. `is_connection_lost`: the other entry saw the server close the
+    connection while it had the request.
+    """
+
+    is_connection_lost = False
+
+
+class RequestRelays(Protocol):
+    """A way to send requests through other entries."""
+
+    def can_relay(self, now_ms: int) -> bool:
+        """Whether there is an entry to ask."""
+
+    async def send(
+        self,
+        outgoing: OutgoingAttempt,
+        request: BackendRequest,
+        deadline_ms: int,
+        *,
+        digest: RequestDigest,
+        is_repeatable: bool,
+        objection: Objection,
+        record_use: UseRecorder,
+    ) -> BackendAnswer:
+        """Send a request through another entry; return the head of its answer.
+
+        Raises RelayError, or the error that `objection` returns before each attempt.
+        """
+
+
+Connect = Callable[..., Awaitable[Connection]]
+
+
+@dataclass
+class Relays:
+    """Sends requests through the entries of `peers`, over their own protocol."""
+
+    board: Blackboard
+    peers: RelayPeers
+    identity: Identity
+    names: HeaderNames
+    metrics: Metrics = field(default_factory=Metrics)
+    connect: Connect = connect
+    _connect_timeout: ConnectTimeout = field(default_factory=ConnectTimeout)
+
+    def can_relay(self, now_ms: int) -> bool:
+        """Whether there is an entry to ask."""
+        return self.peers.has_usable(now_ms)
+
+    async def send(
+        self,
+        outgoing: OutgoingAttempt,
+        request: BackendRequest,
+        deadline_ms: int,
+        *,
+        digest: RequestDigest,
+        is_repeatable: bool,
+        objection: Objection,
+        record_use: UseRecorder,
+    ) -> BackendAnswer:
+        """Send a request through one entry after the other until one accepts it."""
+        tried: set[Address] = set()
+        reasons: list[str] = []
+        while len(tried) < PEER_LIMIT:
+            peer = self.peers.choose(tried, monotonic_ms(), self.board.rng)
+            if peer is None:
+                break
+            tried.add(peer)
+            connection = await self._connect(peer)
+            if connection is None:
+                self._record_failure(peer, PeerFailure.UNREACHABLE)
+                reasons.append(f"{peer} {PeerFailure.UNREACHABLE.value}")
+                continue
+            exchange = _RelayExchange(connection, peer, self.peers)
+            try:
+                error = objection()
+                if error is not None:
+                    raise error
+                record_use(ConnectionUse.RELAYED)
+                wanted = _build_relay_request(
+                    outgoing, request, deadline_ms, digest, is_repeatable
+                )
+                answered = await exchange.send(wanted, request.body)
+            except BaseException:
+                await exchange.aclose()
+                raise
+            match answered:
+                case RelayedHead(status=status, headers=headers):
+                    self._count("answered")
+                    return BackendAnswer(
+                        status, headers, exchange, exchange, self.names
+                    )
+                case RelayRefused(reason=reason, detail=detail):
+                    await exchange.aclose()
+                    self._record_failure(peer, reason)
+                    reasons.append(f"{peer} {reason.value}: {detail}")
+                case RelayedFailure() as failure:
+                    await exchange.aclose()
+                    if failure.step is Step.CONNECT:
+                        self._record_failure(peer, PeerFailure.SERVER_UNREACHABLE)
+                    else:
+                        self._count("failed")
+                    raise _build_server_error(failure, peer)
+        raise RelayError(
+            ErrorCode.BACKEND_FAILED,
+            f"no other entry relays the request: {'; '.join(reasons) or 'none known'}",
+            step=Step.CONNECT,
+            peer=outgoing.server.row.address,
+        )
+
+    async def _connect(self, peer: Address) -> Connection | None:
+        started_at_ms = monotonic_ms()
+        try:
+            connection = await self.connect(
+                peer, RELAY, self.identity, self._connect_timeout.current_ms / 1000
+            )
+        except CinderwayError:
+            self._connect_timeout.record_timeout()
+            return None
+        self._connect_timeout.record_connect_time(monotonic_ms() - started_at_ms)
+        return connection
+
+    def _record_failure(self, peer: Address, failure: PeerFailure) -> None:
+        self.peers.record_failure(peer, failure, monotonic_ms())
+        self._count(failure.value)
+
+    def _count(self, outcome: str) -> None:
+        self.metrics.count("relayed_total", {"outcome": outcome})
+
+
+class _RelayExchange:
+    """One request at another entry: its connection, and the response read from it."""
+
+    def __init__(self, connection: Connection, peer: Address, peers: RelayPeers):
+        self.address = peer
+        self.is_reusable = False
+        self.idle_limit_ms = 0
+        self._connection = connection
+        self._peers = peers
+        self._is_open = True
+        peers.record_begin(peer)
+
+    async def send(self, wanted: RelayRequest, body: bytes) -> Message:
+        """Send the request; return a head, a refusal or a failure.
+
+        Raises RelayError if the connection breaks: the request may have run.
+        """
+        try:
+            await self._connection.send(wanted)
+            message = (await self._connection.receive()).message
+            if isinstance(message, RelayAccepted):
+                await self._send_body(body)
+                message = (await self._connection.receive()).message
+        except CinderwayError as error:
+            raise RelayError(
+                ErrorCode.BACKEND_FAILED,
+                f"the entry that relays the request was lost: {error.detail}",
+                step=Step.AWAIT_ANSWER,
+                peer=self.address,
+            ) from error
+        return message
+
+    async def _send_body(self, body: bytes) -> None:
+        self._connection.limit_send_buffer(SEND_PIECE_BYTES)
+        for start in range(0, len(body), SEND_PIECE_BYTES):
+            piece = body[start : start + SEND_PIECE_BYTES]
+            await self._connection.send(RelayBody(piece))
+
+    async def aiter_stream(self) -> AsyncIterator[bytes]:
+        """Yield the body of the answer, as httpcore's responses do."""
+        while True:
+            try:
+                message = (await self._connection.receive()).message
+            except CinderwayError as error:
+                raise httpcore.ReadError(str(error)) from error
+            match message:
+                case RelayBody(data=data):
+                    yield data
+                case RelayedEnd():
+                    return
+                case RelayedFailure(detail=detail):
+                    raise httpcore.ReadError(detail)
+
+    async def release(self, response: object) -> None:
+        """Close the connection, as each one carries one request."""
+        await self.aclose()
+
+    async def aclose(self) -> None:
+        """Close the connection; a repeatable request in progress is cancelled."""
+        if self._is_open:
+            self._is_open = False
+            self._peers.record_end(self.address)
+        with anyio.CancelScope(shield=True):
+            await self._connection.aclose()
+
+
+def _build_relay_request(
+    outgoing: OutgoingAttempt,
+    request: BackendRequest,
+    deadline_ms: int,
+    digest: RequestDigest,
+    is_repeatable: bool,
+) -> RelayRequest:
+    is_large = len(request.body) >= LARGE_BODY_BYTES
+    return RelayRequest(
+        service=outgoing.service.row.name,
+        server=outgoing.server.row.name,
+        method=request.method,
+        target=request.target,
+        headers=request.headers,
+        body=b"" if is_large else request.body,
+        body_bytes=len(request.body),
+        attempt_id=outgoing.attempt_id,
+        remaining_ms=max(deadline_ms - monotonic_ms(), 0),
+        is_repeatable=is_repeatable,
+        digest=digest,
+    )
+
+
+def _build_server_error(failure: RelayedFailure, peer: Address) -> RelayError:
+    error = RelayError(
+        failure.code,
+        f"relayed by {peer}: {failure.detail}",
+        step=failure.step,
+        peer=peer,
+    )
+    error.is_connection_lost = failure.is_connection_lost
+    return error
--- a/src/cinderway/experiment/_connections.py
+++ b/src/cinderway/experiment/_connections.py
@@ -261,6 +261,22 @@
             self, server, terms.service, terms.connection_limit, one_way_s
         )
 
+    async def check(self, service: ServiceName, address: Address) -> None:
+        """Open a connection to a server and close it; record whether it opened."""
+        server = self.servers[address]
+        uplink = self.uplinks.of(service)
+        cut = self.cuts.get(service)
+        if server.is_dark or cut is CutMode.HANG:
+            await anyio.sleep(self._connect_timeout.base_ms / 1000)
+            uplink.record_unreachable(address)
+            return
+        await anyio.sleep(2 * self._one_way_ms(server) / 1000)
+        if server.is_down or cut is not None:
+            uplink.record_unreachable(address)
+            return
+        self.opened += 1
+        uplink.record_connected(monotonic_ms())
+
     def _record_connect_failure(
         self, server: ModelServer, reason: str
     ) -> CinderwayError:
--- a/src/cinderway/experiment/_declaration.py
+++ b/src/cinderway/experiment/_declaration.py
@@ -66,6 +66,29 @@
     KEPT = "kept"
 
 
+class CutOffPolicy(Enum):
+    """What entries do that are cut off from servers, to compare ways on the same seeds.
+
+    An entry that is not ready gets no requests while half of its hall's entries are.
+    """
+
+    # What entries do.
+    RELAY = "relay"
+    REFUSE = "refuse"
+    NOT_READY = "not-ready"
+    RELAY_NOT_READY = "relay-not-ready"
+
+    @property
+    def relays(self) -> bool:
+        """Whether entries relay requests for each other."""
+        return self in (CutOffPolicy.RELAY, CutOffPolicy.RELAY_NOT_READY)
+
+    @property
+    def withdraws(self) -> bool:
+        """Whether an entry that is cut off says that it is not ready."""
+        return self in (CutOffPolicy.NOT_READY, CutOffPolicy.RELAY_NOT_READY)
+
+
 class ModelService(_Table):
     """A service with `servers_a_hall` backend servers in each data hall.
 
@@ -214,6 +237,7 @@
     # Whether entries can tell that a connection was closed before the server read the
     # request.
     proves_unread_closes: bool = False
+    cut_off: CutOffPolicy = CutOffPolicy.RELAY
 
 
 def scale_load(experiment: Experiment, factor: float) -> Experiment:
--- a/src/cinderway/experiment/_entries.py
+++ b/src/cinderway/experiment/_entries.py
@@ -29,15 +29,20 @@
 from cinderway.entry.callers._route_handler import RouteHandler
 from cinderway.entry.fleet._allowances import Allowances
 from cinderway.entry.fleet._catalog_reports import CatalogReports
+from cinderway.entry.fleet._relay_server import RelayServer
 from cinderway.entry.servers._dispatch import Dispatcher
 from cinderway.entry.servers._messages import DEFAULT_HEADER_NAMES
+from cinderway.entry.servers._relays import Relays
+from cinderway.entry.servers._uplink_check import UplinkCheck
 from cinderway.experiment._connections import ModelConnections
 from cinderway.experiment._halls import ModelHall
+from cinderway.experiment._relays import RelayLinks
 from cinderway.experiment._servers import ModelServer
 from cinderway.experiment._virtual_time import call_later
 from cinderway.judgement import EvidenceLog
-from cinderway.wire import Message
+from cinderway.wire import Identity, Message
 
+IDENTITY = Identity("model", b"")
 ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
 # Enough for the different frames that the control replicas of all halls send to their
 # entries at about the same time.
@@ -64,6 +69,8 @@
     servers: dict[Address, ModelServer]
     tasks: TaskGroup
     rng: random.Random
+    # The entries of all halls, by the addresses at which they relay requests.
+    entries: dict[Address, "ModelEntry"] = field(default_factory=dict)
     peers_address: Address = Address("")
     _lifetime: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     _request_scopes: set[anyio.CancelScope] = field(default_factory=set)
@@ -83,6 +90,10 @@
             uplinks=board.uplinks,
         )
         dispatcher = Dispatcher(board, self.connections, evidence)
+        self.relay_server = RelayServer(board, dispatcher, self.state.poison)
+        self._check = UplinkCheck(board, self.connections)
+        if experiment.cut_off.relays:
+            dispatcher.relays = self._build_relays(board)
         attempts = Attempts(
             dispatcher,
             Metrics(),
@@ -99,6 +110,18 @@
         )
         self._reports = CatalogReports(self.name, self.data_hall, self.state)
 
+    def _build_relays(self, board: Blackboard) -> Relays:
+        links = RelayLinks(
+            self.hall.experiment, self.name, self.data_hall, self.entries, self.tasks
+        )
+        return Relays(
+            board,
+            self.state.relay_peers,
+            IDENTITY,
+            DEFAULT_HEADER_NAMES,
+            connect=links.connect,
+        )
+
     def __hash__(self) -> int:
         """Return a hash that is the same in every run.
 
@@ -112,6 +135,14 @@
         """The entry's name, as an attribute of Follower."""
         return self.name
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the load balancer may send it requests."""
+        return not (
+            self.hall.experiment.cut_off.withdraws
+            and self.state.board.count_cut_off_services()
+        )
+
     @property
     def is_dark(self) -> bool:
         """Whether it has lost power."""
@@ -122,6 +153,7 @@
         with self._lifetime:
             await anyio.sleep(2 * self._one_way_ms / 1000)
             self.state.install(self.hall.machine.update_since(0), monotonic_ms())
+            self._learn_peers()
             self.hall.service.followers.add(self)
             rulings = self.hall.service.poison.rulings()
             self.queue_frames([CATALOG.encode(rulings)])
@@ -133,6 +165,16 @@
                 tasks.start_soon(self._reports.send_rejecting_servers, self)
                 tasks.start_soon(self._reports.send_limits, self)
                 tasks.start_soon(self.connections.run)
+                tasks.start_soon(self._check.run)
+
+    def _learn_peers(self) -> None:
+        others = {a: e for a, e in self.entries.items() if e.name != self.name}
+        self.state.relay_peers.own_hall = [
+            a for a, e in others.items() if e.data_hall == self.data_hall
+        ]
+        self.state.relay_peers.other_halls = [
+            a for a, e in others.items() if e.data_hall != self.data_hall
+        ]
 
     async def serve(self, scope: dict, receive: Callable, send: Callable) -> None:
         """Serve one request through ASGI.
--- a/src/cinderway/experiment/_run.py
+++ b/src/cinderway/experiment/_run.py
@@ -108,6 +108,7 @@
         self.play_result = PlayResult(experiment, seed)
         self.surge_factor = 1.0
         self.entries: dict[DataHall, list[ModelEntry]] = {}
+        self.entries_by_address: dict[Address, ModelEntry] = {}
 
     async def run(self) -> PlayResult:
         self.play_result.began_at_ms = monotonic_ms() + round(WARMUP_S * 1000)
@@ -177,7 +178,10 @@
 
     def _start_entry(self, hall: ModelHall, name: EntryName) -> None:
         rng = random.Random(self.rng.getrandbits(64))
-        entry = ModelEntry(name, hall, self.by_address, self.tasks, rng)
+        entry = ModelEntry(
+            name, hall, self.by_address, self.tasks, rng, self.entries_by_address
+        )
+        self.entries_by_address[Address(name)] = entry
         self.entries[hall.name].append(entry)
         self.tasks.start_soon(entry.run)
 
@@ -218,11 +222,21 @@
     async def _send_request(
         self, route: ModelRoute, hall: DataHall, rng: random.Random
     ) -> None:
-        # The load balancer before the entries skips instances without power.
-        entries = [entry for entry in self.entries[hall] if not entry.is_dark]
-        result = await send_request(self.experiment, route, entries, hall, rng)
+        result = await send_request(
+            self.experiment, route, self._find_entries(hall), hall, rng
+        )
         self.play_result.results.append(result)
 
+    def _find_entries(self, hall: DataHall) -> list[ModelEntry]:
+        """Return the entries to which the load balancer of a hall sends requests.
+
+        It skips instances without power, and those that are not ready while at least
+        half of the hall's are.
+        """
+        alive = [entry for entry in self.entries[hall] if not entry.is_dark]
+        ready = [entry for entry in alive if entry.is_ready]
+        return ready if 2 * len(ready) >= len(self.entries[hall]) else alive
+
     async def _send_poison(
         self, poison: PoisonRequest, number: int, callers: TaskGroup
     ) -> None:
@@ -233,9 +247,8 @@
 
         async def send() -> None:
             hall = rng.choice(self.experiment.halls)
-            entries = [entry for entry in self.entries[hall] if not entry.is_dark]
             result = await send_request(
-                self.experiment, route, entries, hall, rng, path
+                self.experiment, route, self._find_entries(hall), hall, rng, path
             )
             self.play_result.poison_results.append(result)
 
--- a/src/cinderway/judgement/_evidence.py
+++ b/src/cinderway/judgement/_evidence.py
@@ -44,6 +44,10 @@
     OVERDUE = "overdue"
 
 
+# The kinds that the loss of the entry's own paths to servers brings about as well.
+AMBIGUOUS_KINDS = frozenset(
+    {FailureKind.UNREACHABLE, FailureKind.CUT, FailureKind.OVERDUE}
+)
 # The kinds that make a server suspect at once. A slow answer does not: under load it
 # tells more about the service than about the server. An overdue request does, because a
 # server that hangs never answers with an error.
@@ -117,7 +121,8 @@
     """A request in flight.
 
     The wait for its current piece began at `piece_started_at_ms`. Until the head of the
-    answer has arrived, `work` is the class of work if others share the service.
+    answer has arrived, `work` is the class of work if others share the service. Nothing
+    is recorded of one that `is_excluded`.
     """
 
     service: ServiceName
@@ -127,6 +132,11 @@
     overdue_count: int = 0
     is_piece_overdue: bool = False
     work: WorkClass | None = None
+    is_excluded: bool = False
+
+
+def _record_at_once(service: ServiceName, record: Callable[[], None]) -> None:
+    record()
 
 
 class EvidenceLog:
@@ -143,6 +153,9 @@
         # Called with the server that answers an overdue request: it was slow but does
         # not hang.
         self.on_late_answer: Callable[[ServerName], None] | None = None
+        # Called with the service and the recording of each failure in AMBIGUOUS_KINDS;
+        # records it once it is known to be the server's.
+        self.defer: Callable[[ServiceName, Callable[[], None]], None] = _record_at_once
 
     def set_pace(self, service: ServiceName, pace: Pace) -> None:
         """Set the answer times of a service, as aggregated over many entries."""
@@ -217,6 +230,8 @@
 
     def record_first_byte(self, attempt: Attempt, status: int, now_ms: int) -> None:
         """Record the arrival of an answer's head."""
+        if attempt.is_excluded:
+            return
         if status >= 500:
             self._record_bad(attempt, FailureKind.ERROR)
         else:
@@ -231,6 +246,8 @@
 
     def record_progress(self, attempt: Attempt, size_bytes: int, now_ms: int) -> None:
         """Record the arrival of a part of a streamed body."""
+        if attempt.is_excluded:
+            return
         attempt.piece_bytes += size_bytes
         if attempt.piece_bytes >= PIECE_BYTES:
             self._record_timing(attempt, now_ms)
@@ -259,9 +276,20 @@
         """Record that the attempt is over, without a further observation."""
         self._in_flight.discard(attempt)
 
+    def exclude(self, attempt: Attempt) -> None:
+        """Record nothing more of an attempt, as it tells nothing about the server."""
+        attempt.is_excluded = True
+        self._in_flight.discard(attempt)
+
+    def exclude_service(self, service: ServiceName) -> None:
+        """Exclude all attempts in flight to the servers of a service."""
+        for attempt in [a for a in self._in_flight if a.service == service]:
+            self.exclude(attempt)
+
     def record_overdue(self, now_ms: int) -> None:
         """Count the requests that are in flight for too long as overdue."""
-        for attempt in self._in_flight:
+        # Copied, as a failure may exclude other attempts.
+        for attempt in list(self._in_flight):
             if now_ms >= self._late_at_ms(attempt):
                 attempt.overdue_count += 1
                 attempt.is_piece_overdue = True
@@ -327,6 +355,14 @@
         attempt.work = None
 
     def _record_bad(self, attempt: Attempt, kind: FailureKind) -> None:
+        if attempt.is_excluded:
+            return
+        if kind in AMBIGUOUS_KINDS:
+            self.defer(attempt.service, lambda: self._count_bad(attempt, kind))
+        else:
+            self._count_bad(attempt, kind)
+
+    def _count_bad(self, attempt: Attempt, kind: FailureKind) -> None:
         bad = self._counts_of(attempt).bad
         bad[kind] = bad.get(kind, 0) + 1
         if self.on_alarm is not None and kind in ALARMS:
--- a/src/cinderway/limits/_connect_timeout.py
+++ b/src/cinderway/limits/_connect_timeout.py
@@ -33,18 +33,18 @@
     _consecutive_timeouts: int = 0
 
     @property
-    def current_ms(self) -> float:
-        """The timeout for the next connection attempt."""
+    def base_ms(self) -> float:
+        """The timeout as long as no attempt times out."""
         if self._smoothed_ms is None:
             return MAXIMUM_TIMEOUT_MS
-        base_timeout_ms = max(
-            self._smoothed_ms + DEVIATION_FACTOR * self._deviation_ms,
-            MINIMUM_TIMEOUT_MS,
-        )
-        return min(
-            base_timeout_ms * 2 ** max(self._consecutive_timeouts - 1, 0),
-            MAXIMUM_TIMEOUT_MS,
-        )
+        estimate_ms = self._smoothed_ms + DEVIATION_FACTOR * self._deviation_ms
+        return min(max(estimate_ms, MINIMUM_TIMEOUT_MS), MAXIMUM_TIMEOUT_MS)
+
+    @property
+    def current_ms(self) -> float:
+        """The timeout for the next connection attempt."""
+        factor = 2 ** max(self._consecutive_timeouts - 1, 0)
+        return min(self.base_ms * factor, MAXIMUM_TIMEOUT_MS)
 
     def record_connect_time(self, duration_ms: float) -> None:
         """Record the time that a successful connection took."""
--- a/src/cinderway/pushback/__init__.py
+++ b/src/cinderway/pushback/__init__.py
@@ -29,6 +29,7 @@
     compute_share,
 )
 from cinderway.pushback._store import (
+    HELD_TOKEN,
     LEAVING_VALID_MS,
     MAXIMUM_TRACKED_SERVERS,
     PushbackStore,
@@ -38,6 +39,7 @@
 from cinderway.pushback._token_bucket import RateTokenBucket
 
 __all__ = [
+    "HELD_TOKEN",
     "LEAVING_VALID_MS",
     "MAXIMUM_BACKOFF_MS",
     "MAXIMUM_TRACKED_SERVERS",
--- a/src/cinderway/pushback/_store.py
+++ b/src/cinderway/pushback/_store.py
@@ -119,6 +119,20 @@
             self._acquired_from = None
 
 
+class _HeldToken(RateToken):
+    """A token that another entry holds for its request."""
+
+    def __init__(self):
+        super().__init__(ServerPushback())
+
+    def acquire(self, now_ms: int) -> bool:
+        """Acquire nothing, as the request has its token."""
+        return True
+
+
+HELD_TOKEN = _HeldToken()
+
+
 @dataclass
 class PushbackStore:
     """Stores the pushback of servers, also while they are not in the catalog.
--- a/src/cinderway/reachability/_uplink.py
+++ b/src/cinderway/reachability/_uplink.py
@@ -4,6 +4,7 @@
 is cut. Connections to the service's other servers tell the two apart.
 """
 
+from collections import deque
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from enum import Enum
@@ -13,13 +14,16 @@
 # Servers in a row that cannot be connected to before the entry counts as cut off: two
 # servers often fail at the same time, three that are tried in a row rarely do.
 CUT_OFF_AFTER_SERVERS = 3
+# More are not kept while an uplink is in doubt, which is settled within a second.
+DEFERRED_LIMIT = 1_000
 
 
 class UplinkState(Enum):
     """Whether connections to a service's servers can be opened."""
 
     CONNECTED = "connected"
-    # A server could not be connected to, and no connection was opened since.
+    # A server could not be connected to or fell silent, and nothing has shown since
+    # that another one can be reached.
     IN_DOUBT = "in-doubt"
     CUT_OFF = "cut-off"
 
@@ -34,6 +38,7 @@
 
 
 ChangeListener = Callable[[UplinkChange], None]
+Observation = Callable[[], None]
 
 
 @dataclass
@@ -51,6 +56,9 @@
     last_connected_at_ms: int | None = None
     # The servers that could not be connected to since the last opened connection.
     unreachable: set[Address] = field(default_factory=set)
+    _deferred: deque[Observation] = field(
+        default_factory=lambda: deque(maxlen=DEFERRED_LIMIT)
+    )
 
     @property
     def is_cut_off(self) -> bool:
@@ -63,14 +71,34 @@
         self.unreachable.clear()
         self._set_state(UplinkState.CONNECTED)
 
+    def record_answer(self) -> None:
+        """Record a server's answer; it says nothing about opening connections."""
+        if self.state is UplinkState.IN_DOUBT and not self.unreachable:
+            self._set_state(UplinkState.CONNECTED)
+
     def record_unreachable(self, server: Address) -> None:
         """Record that a connection to a server could not be opened."""
         self.unreachable.add(server)
         if len(self.unreachable) >= self._compute_required_failures():
             self._set_state(UplinkState.CUT_OFF)
-        elif self.state is UplinkState.CONNECTED:
+        else:
+            self.doubt()
+
+    def doubt(self) -> None:
+        """Require proof that a server can be reached, unless the uplink is cut off."""
+        if self.state is UplinkState.CONNECTED:
             self._set_state(UplinkState.IN_DOUBT)
 
+    def defer(self, record: Observation) -> None:
+        """Record a failure that the loss of this uplink would explain as well.
+
+        It is recorded once a server can be reached, and dropped if none can.
+        """
+        if self.is_cut_off:
+            return
+        self._deferred.append(record)
+        self.doubt()
+
     def _compute_required_failures(self) -> int:
         return max(min(CUT_OFF_AFTER_SERVERS, self.server_count()), 1)
 
@@ -78,6 +106,12 @@
         if state is self.state:
             return
         before, self.state = self.state, state
+        deferred, self._deferred = self._deferred, deque(maxlen=DEFERRED_LIMIT)
+        if state is UplinkState.CONNECTED:
+            for record in deferred:
+                record()
+        elif state is UplinkState.IN_DOUBT:
+            self._deferred = deferred
         if self.on_change is not None:
             self.on_change(UplinkChange(self.service, before, state))
 
@@ -115,5 +149,9 @@
         return [u for u in self._by_service.values() if u.state is state]
 
     def _notify(self, change: UplinkChange) -> None:
+        if change.after is UplinkState.CUT_OFF:
+            # The cause is rarely one service's alone.
+            for uplink in self.find_in_state(UplinkState.CONNECTED):
+                uplink.doubt()
         for listener in self.listeners:
             listener(change)
--- a/src/cinderway/wire/_connection.py
+++ b/src/cinderway/wire/_connection.py
@@ -114,6 +114,11 @@
         """Whether received data, such as part of a message, is still to be returned."""
         return self._frames.is_receiving
 
+    def limit_send_buffer(self, size_bytes: int) -> None:
+        """Limit how much of what is sent may wait in front of other connections."""
+        raw = self._frames.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size_bytes)
+
     async def aclose(self) -> None:
         """Close the connection without waiting for the peer."""
         await anyio.aclose_forcefully(self._frames.stream)
--- a/src/cinderway/wire/schemas/catalog.capnp
+++ b/src/cinderway/wire/schemas/catalog.capnp
@@ -148,6 +148,7 @@
 
 struct HallEntries {
   addresses @0 :List(Text);
+  relays @1 :List(Text);
 }
 
 struct HeldAllowance {
--- a/tests/reachability/test_uplink.py
+++ b/tests/reachability/test_uplink.py
@@ -60,3 +60,37 @@
         self.assertEqual([uplink.service for uplink in cut_off], [LOOKUP])
         uplinks.keep_only([SUBMIT])
         self.assertEqual(uplinks.find_in_state(UplinkState.CUT_OFF), [])
+
+
+class DeferralTests(unittest.TestCase):
+    """A failure counts against a server only if the entry reaches others."""
+
+    def setUp(self):
+        self.recorded = []
+        self.uplink = Uplink(LOOKUP)
+
+    def defer(self, name):
+        self.uplink.defer(lambda: self.recorded.append(name))
+
+    def test_a_failure_is_recorded_once_another_server_is_reached(self):
+        self.defer("silent")
+        self.assertEqual(self.recorded, [])
+        self.uplink.record_connected(5)
+        self.assertEqual(self.recorded, ["silent"])
+
+    def test_an_answer_settles_a_doubt_unless_connections_fail(self):
+        self.defer("silent")
+        self.uplink.record_answer()
+        self.assertEqual(self.recorded, ["silent"])
+        self.uplink.record_unreachable(A)
+        self.defer("unreachable")
+        self.uplink.record_answer()
+        self.assertEqual(self.recorded, ["silent"])
+
+    def test_failures_before_and_during_a_cut_are_dropped(self):
+        self.defer("before")
+        for server in (A, B, C):
+            self.uplink.record_unreachable(server)
+        self.defer("during")
+        self.uplink.record_connected(5)
+        self.assertEqual(self.recorded, [])
