control: entries know others in all halls that can relay their requests

Cause: entries knew the addresses of their own hall's entries alone. A hall that is cut off as a whole has nobody there to ask. Change: replicas tell each other up to 32 of the entries that follow them, in a field of an existing message that earlier builds ignore, at each change and every 10 s; entries are told of up to 64. Halls without a replica of their own get their hall's entries as well.

--- a/src/cinderway/control/_catalog_service.py
+++ b/src/cinderway/control/_catalog_service.py
@@ -107,8 +107,10 @@
                         case FollowCatalog() as request:
                             standby_scope.cancel()
                             tasks.start_soon(self._serve_follower, connection, request)
-                        case ServerLoads(servers=loads):
+                        case ServerLoads(servers=loads, relays=relays):
                             self.hall.gossip.receive_replica_loads(connection, loads)
+                            if relays is not None:
+                                self.hall.gossip.receive_replica_relays(name, relays)
                             await connection.send(Done(), envelope.call_id)
                         case AskAllowances() as asked:
                             # Called here and not in the task, so that a holder's
--- a/src/cinderway/control/_hall_gossip.py
+++ b/src/cinderway/control/_hall_gossip.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from cinderway._clock import monotonic_ms
-from cinderway._ids import Address, ServerName
+from cinderway._ids import Address, DataHall, ServerName
 from cinderway.catalog import (
     CATALOG,
     NO_GOOD_ANSWER,
@@ -27,6 +27,7 @@
 from cinderway.control._commands import ReplicaCalls
 from cinderway.control._follower import Follower
 from cinderway.control._in_flight import InFlightCounts
+from cinderway.control._relay_directory import RelayDirectory
 from cinderway.control._tellings import BestEffortSender
 from cinderway.judgement import SUSPICION_MS
 
@@ -46,6 +47,8 @@
 CROSS_HALL_PERIOD_S = 0.25
 # How often the hall's entries are checked for changes; many connect at the same moment.
 HALL_ENTRIES_PERIOD_S = 1.0
+# Entries of other halls change often in a large fleet, and few of them are ever asked.
+RELAYS_PERIOD_MS = 5_000
 
 
 @dataclass
@@ -72,6 +75,7 @@
 
     def __post_init__(self):
         self._sender = BestEffortSender(self.calls, REPLICA_SEND_TIMEOUT_S)
+        self._relays = RelayDirectory(self.own.address)
 
     async def run(self) -> None:
         """Send updates until cancelled."""
@@ -183,22 +187,50 @@
         entries, replicas = self._entries_in_flight, self._replicas_in_flight
         return entries.total(server) + replicas.total(server)
 
+    def receive_replica_relays(self, replica: str, addresses: list[Address]) -> None:
+        """Receive the entries of another replica that can relay requests."""
+        self._relays.record_shared(replica, addresses, monotonic_ms())
+
     async def _send_hall_entries(self) -> None:
-        """Send the own hall's entries each other's addresses.
+        """Send entries each other's addresses, and other replicas those of some.
 
-        They exchange updates directly while control is unreachable.
+        The entries of a hall exchange updates directly while control is unreachable,
+        and all entries relay requests for each other.
         """
-        sent_to: set[Follower] = set()
+        sent: dict[Follower, HallEntries] = {}
+        relays: list[Address] = []
+        relays_until_ms = 0
         while True:
             await anyio.sleep(HALL_ENTRIES_PERIOD_S)
-            local = {f for f in self.followers if f.data_hall == self.own.data_hall}
-            if local == sent_to:
-                continue
-            # Also sent if the addresses are the same: a restarted entry knows none.
-            sent_to = local
-            addresses = sorted(f.peers_address for f in local if f.peers_address)
-            for follower in local:
-                follower.queue_hall_entries(HallEntries(addresses))
+            now_ms = monotonic_ms()
+            own = [f.peers_address for f in self.followers if f.peers_address]
+            shared = self._relays.pop_due(own, now_ms)
+            if shared is not None:
+                self._sender.send(self._other_replicas(), ServerLoads([], shared))
+            if now_ms >= relays_until_ms:
+                relays_until_ms = now_ms + RELAYS_PERIOD_MS
+                relays = self._relays.select_relays(own, now_ms)
+            current = self._build_hall_entries(relays)
+            for follower, entries in current.items():
+                # Also sent if another follower has the same: a restarted one has none.
+                if sent.get(follower) != entries:
+                    follower.queue_hall_entries(entries)
+            sent = current
+
+    def _build_hall_entries(self, relays: list[Address]) -> dict[Follower, HallEntries]:
+        """Return what each follower is told: its own hall's entries, and relays."""
+        by_hall: dict[DataHall, list[Address]] = {}
+        for follower in self.followers:
+            addresses = by_hall.setdefault(follower.data_hall, [])
+            if follower.peers_address:
+                addresses.append(follower.peers_address)
+        messages = {
+            hall: HallEntries(
+                sorted(addresses), [a for a in relays if a not in addresses]
+            )
+            for hall, addresses in by_hall.items()
+        }
+        return {follower: messages[follower.data_hall] for follower in self.followers}
 
     def _other_replicas(self) -> list[Address]:
         return [a for a in self.machine.replicas if a != self.own.address]
