entry: requests are relayed in table mode, too

Cause: the same fault; an entry by the table had no path to servers but its own either. Change: its listener serves the relay protocol, and the live entries that heartbeats name are asked.

--- a/src/cinderway/entry/_daemon.py
+++ b/src/cinderway/entry/_daemon.py
@@ -18,12 +18,15 @@
 from cinderway.entry.callers._stream import Streams
 from cinderway.entry.fleet._assessor_server import AssessorServer
 from cinderway.entry.fleet._platform import PlatformReader
+from cinderway.entry.fleet._relay_server import RelayServer
 from cinderway.entry.fleet._report_server import ReportServer
 from cinderway.entry.fleet._reporter import Reporter
 from cinderway.entry.fleet._table_follower import TableFollower
 from cinderway.entry.servers._backends import BackendConnections
 from cinderway.entry.servers._dispatch import Dispatcher
 from cinderway.entry.servers._probe import Prober
+from cinderway.entry.servers._relays import Relays
+from cinderway.entry.servers._uplink_check import UplinkCheck
 from cinderway.judgement import DRAIN_SIGNAL_TTL_MS, EvidenceLog
 from cinderway.ledger import LedgerClient
 from cinderway.pushback import PushbackStore
@@ -53,7 +56,7 @@
         reports = ReportServer(board)
         attempts = Attempts(dispatcher, metrics, settings.answer_limit_kib * 1024)
         run_once = RunOnce(settings.name, attempts, ledger, metrics, runs)
-        watch = PoisonWatch(on_refusal=board.wake_waiting_requests)
+        watch = PoisonWatch(on_refusal=board.wake_waiting_requests, defer=board.defer)
         handler = Handler(
             settings,
             board,
@@ -75,12 +78,23 @@
             reports,
             watch,
         )
+        relay_server = RelayServer(board, dispatcher, watch, metrics)
+        check = UplinkCheck(board, connections)
+        dispatcher.relays = Relays(
+            board, reporter.relay_peers, identity, connections.names, metrics
+        )
         prober = Prober(board, dispatcher, tasks)
-        routes = (follower.route, assessor.route, reports.route)
+        routes = (
+            follower.route,
+            assessor.route,
+            reports.route,
+            relay_server.route,
+        )
         await tasks.start(serve_connections, settings.listen, routes, identity)
         follower.start()
         tasks.start_soon(run_with_restarts, "assessor", assessor.run)
         tasks.start_soon(run_with_restarts, "idle connections", connections.run)
+        tasks.start_soon(run_with_restarts, "uplink check", check.run)
         tasks.start_soon(run_with_restarts, "reporter", reporter.run)
         tasks.start_soon(run_with_restarts, "prober", prober.run)
         platform = PlatformReader(board, settings.platform_list)
@@ -88,7 +102,9 @@
         await tasks.start(
             serve_operators,
             settings.operators_listen,
-            lambda: _gauges(board, dispatcher, follower, reporter, prober),
+            lambda: _gauges(
+                board, dispatcher, follower, reporter, prober, relay_server
+            ),
             lambda: board.is_table_trusted and not board.is_leaving,
             metrics,
         )
@@ -129,6 +145,7 @@
     follower: TableFollower,
     reporter: Reporter,
     prober: Prober,
+    relay_server: RelayServer,
 ) -> dict[str, float]:
     return {
         "table_revision": float(board.table.revision),
@@ -139,5 +156,6 @@
         "ejections": float(reporter.ejections),
         "held_by_floor": float(reporter.held_by_floor),
         "probes": float(prober.probes),
+        "relays_in_progress": float(relay_server.in_progress),
         "services_cut_off": float(board.count_cut_off_services()),
     }
--- a/src/cinderway/entry/fleet/_reporter.py
+++ b/src/cinderway/entry/fleet/_reporter.py
@@ -1,6 +1,7 @@
 """Report this entry's evidence to its assessors and apply their verdicts."""
 
 import logging
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import anyio
@@ -34,6 +35,7 @@
 )
 from cinderway.poison import RequestRulings
 from cinderway.pushback import EntryGroup, ServerLimits
+from cinderway.reachability import RelayPeers
 from cinderway.reports import EventKind
 from cinderway.table import EntryReport
 from cinderway.wire import Connection, Identity, Message, connect
@@ -86,6 +88,7 @@
     tasks: TaskGroup
     reports: ReportServer
     watch: PoisonWatch = field(default_factory=PoisonWatch)
+    relay_peers: RelayPeers = field(default_factory=RelayPeers)
     ejections: int = 0
     held_by_floor: int = 0
     _links: dict[tuple[int, EntryName], _Link] = field(default_factory=dict)
@@ -126,6 +129,7 @@
             name for name, until in self._avoid_until_ms.items() if now_ms < until
         )
         live = {report.name: report for report in self.board.fleet.live(now_ms)}
+        self._update_relay_peers(live.values())
         own = EntryReport(
             self.board.name, self.board.data_hall, self.own_address, 0, 0, 0, False
         )
@@ -148,6 +152,16 @@
                 self._connecting.add(key)
                 self.tasks.start_soon(self._run_link, key, address)
 
+    def _update_relay_peers(self, live: Iterable[EntryReport]) -> None:
+        others = [report for report in live if report.name != self.board.name]
+        own_hall = self.board.data_hall
+        self.relay_peers.own_hall = [
+            report.address for report in others if report.data_hall == own_hall
+        ]
+        self.relay_peers.other_halls = [
+            report.address for report in others if report.data_hall != own_hall
+        ]
+
     async def _run_link(self, key: tuple[int, EntryName], address: Address) -> None:
         group, assessor = key
         link: _Link | None = None
