entry: probes are sent directly, never through another entry

Cause: a probe during a cut would have been answered through another entry, and said nothing about what this one observes.

--- a/src/cinderway/entry/servers/_dispatch.py
+++ b/src/cinderway/entry/servers/_dispatch.py
@@ -230,7 +230,10 @@
         request: BackendRequest,
         deadline_ms: int,
     ) -> None:
-        """Send a probe to one server, without a slot; record the result as evidence."""
+        """Send a probe to one server, without a slot; record the result as evidence.
+
+        It is never relayed, since it is to tell what this entry observes.
+        """
         attempt = self.evidence.start_attempt(
             service.row.name, server.row.name, monotonic_ms(), is_probe=True
         )
@@ -239,7 +242,7 @@
             service, server, attempt, self.new_attempt_id(), token
         )
         try:
-            answer = await self._send(
+            answer = await self._send_directly(
                 outgoing, request, deadline_ms, UNLIMITED, is_repeatable=True
             )
             try:
