entry: a late server is recorded at once, also before the uplink is verified

Change: an overdue request is recorded at once and puts the uplink in doubt; it is deferred only while connections fail, too. Checks and relays draw random numbers of their own.

--- a/src/cinderway/entry/_catalog_daemon.py
+++ b/src/cinderway/entry/_catalog_daemon.py
@@ -103,7 +103,7 @@
     )
     relay_server = RelayServer(board, dispatcher, state.poison, metrics)
     check = UplinkCheck(board, connections)
-    dispatcher.relays = Relays(board, state.relay_peers, identity, names, metrics)
+    dispatcher.relays = Relays(state.relay_peers, identity, names, metrics)
     async with anyio.create_task_group() as tasks:
         watch = SettingsWatcher(settings, follower.apply_settings)
         tasks.start_soon(watch.run)
--- a/src/cinderway/entry/_daemon.py
+++ b/src/cinderway/entry/_daemon.py
@@ -81,7 +81,7 @@
         relay_server = RelayServer(board, dispatcher, watch, metrics)
         check = UplinkCheck(board, connections)
         dispatcher.relays = Relays(
-            board, reporter.relay_peers, identity, connections.names, metrics
+            reporter.relay_peers, identity, connections.names, metrics
         )
         prober = Prober(board, dispatcher, tasks)
         routes = (
--- a/src/cinderway/entry/servers/_dispatch.py
+++ b/src/cinderway/entry/servers/_dispatch.py
@@ -85,8 +85,14 @@
         self.slots = Slots(self.board, self.connections, self.evidence)
         self.recorder = AttemptRecorder(self.board, self.evidence, self.metrics)
 
-    def _defer(self, service: ServiceName, record: Observation) -> None:
-        self.board.uplinks.of(service).defer(record)
+    def _defer(
+        self, service: ServiceName, kind: FailureKind, record: Observation
+    ) -> None:
+        uplink = self.board.uplinks.of(service)
+        if kind is FailureKind.OVERDUE:
+            uplink.record_silence(record)
+        else:
+            uplink.defer(record)
 
     def _handle_uplink_change(self, change: UplinkChange) -> None:
         if change.after is UplinkState.CUT_OFF:
--- a/src/cinderway/entry/servers/_relays.py
+++ b/src/cinderway/entry/servers/_relays.py
@@ -5,6 +5,7 @@
 stay with this entry. What the answers say about servers is observed by the other one.
 """
 
+import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -16,7 +17,6 @@
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import Address, RequestDigest
 from cinderway._operators import Metrics
-from cinderway.entry._blackboard import Blackboard
 from cinderway.entry.servers._backends import (
     LARGE_BODY_BYTES,
     SEND_PIECE_BYTES,
@@ -91,12 +91,12 @@
 class Relays:
     """Sends requests through the entries of `peers`, over their own protocol."""
 
-    board: Blackboard
     peers: RelayPeers
     identity: Identity
     names: HeaderNames
     metrics: Metrics = field(default_factory=Metrics)
     connect: Connect = connect
+    rng: random.Random = field(default_factory=random.Random)
     _connect_timeout: ConnectTimeout = field(default_factory=ConnectTimeout)
 
     def can_relay(self, now_ms: int) -> bool:
@@ -118,7 +118,7 @@
         tried: set[Address] = set()
         reasons: list[str] = []
         while len(tried) < PEER_LIMIT:
-            peer = self.peers.choose(tried, monotonic_ms(), self.board.rng)
+            peer = self.peers.choose(tried, monotonic_ms(), self.rng)
             if peer is None:
                 break
             tried.add(peer)
--- a/src/cinderway/entry/servers/_uplink_check.py
+++ b/src/cinderway/entry/servers/_uplink_check.py
@@ -3,6 +3,7 @@
 It runs while an uplink is in doubt or cut off, and sets no timer otherwise.
 """
 
+import random
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -36,6 +37,7 @@
 
     board: Blackboard
     connections: CheckedConnections
+    rng: random.Random = field(default_factory=random.Random)
     _wake: anyio.Event = field(default_factory=anyio.Event)
 
     def __post_init__(self):
@@ -81,7 +83,7 @@
             for server in service.servers.values()
             if uplink.is_cut_off or server.row.address not in uplink.unreachable
         ]
-        return self.board.rng.sample(addresses, min(count, len(addresses)))
+        return self.rng.sample(addresses, min(count, len(addresses)))
 
     async def _try_servers(self, uplink: Uplink, servers: Iterable[Address]) -> None:
         async with anyio.create_task_group() as tasks:
--- a/src/cinderway/judgement/_evidence.py
+++ b/src/cinderway/judgement/_evidence.py
@@ -135,7 +135,12 @@
     is_excluded: bool = False
 
 
-def _record_at_once(service: ServiceName, record: Callable[[], None]) -> None:
+DeferFailure = Callable[[ServiceName, FailureKind, Callable[[], None]], None]
+
+
+def _record_at_once(
+    service: ServiceName, kind: FailureKind, record: Callable[[], None]
+) -> None:
     record()
 
 
@@ -153,9 +158,9 @@
         # Called with the server that answers an overdue request: it was slow but does
         # not hang.
         self.on_late_answer: Callable[[ServerName], None] | None = None
-        # Called with the service and the recording of each failure in AMBIGUOUS_KINDS;
-        # records it once it is known to be the server's.
-        self.defer: Callable[[ServiceName, Callable[[], None]], None] = _record_at_once
+        # Called with the service, the kind and the recording of each failure in
+        # AMBIGUOUS_KINDS; records it once it is known to be the server's.
+        self.defer: DeferFailure = _record_at_once
 
     def set_pace(self, service: ServiceName, pace: Pace) -> None:
         """Set the answer times of a service, as aggregated over many entries."""
@@ -358,7 +363,7 @@
         if attempt.is_excluded:
             return
         if kind in AMBIGUOUS_KINDS:
-            self.defer(attempt.service, lambda: self._count_bad(attempt, kind))
+            self.defer(attempt.service, kind, lambda: self._count_bad(attempt, kind))
         else:
             self._count_bad(attempt, kind)
 
--- a/src/cinderway/reachability/_uplink.py
+++ b/src/cinderway/reachability/_uplink.py
@@ -99,6 +99,18 @@
         self._deferred.append(record)
         self.doubt()
 
+    def record_silence(self, record: Observation) -> None:
+        """Record that a server is late with an answer, and doubt the uplink.
+
+        Entries must learn at once of servers that hang. The failure is deferred only
+        if connections fail, too.
+        """
+        if self.unreachable:
+            self.defer(record)
+            return
+        record()
+        self.doubt()
+
     def _compute_required_failures(self) -> int:
         return max(min(CUT_OFF_AFTER_SERVERS, self.server_count()), 1)
 
--- a/src/cinderway/wire/_codec.py
+++ b/src/cinderway/wire/_codec.py
@@ -114,6 +114,8 @@
             **{
                 field.name: _decode_by_name(value[field.encode_name], field.type)
                 for field in msgspec.structs.fields(kind)
+                # Added after the builds that sent messages by name.
+                if field.required or field.encode_name in value
             }
         )
     return msgspec.convert(value, kind, builtin_types=(bytes,))
--- a/tests/reachability/test_uplink.py
+++ b/tests/reachability/test_uplink.py
@@ -78,6 +78,14 @@
         self.uplink.record_connected(5)
         self.assertEqual(self.recorded, ["silent"])
 
+    def test_a_late_server_is_recorded_at_once_unless_connections_fail(self):
+        self.uplink.record_silence(lambda: self.recorded.append("late"))
+        self.assertEqual(self.recorded, ["late"])
+        self.assertIs(self.uplink.state, UplinkState.IN_DOUBT)
+        self.uplink.record_unreachable(A)
+        self.uplink.record_silence(lambda: self.recorded.append("late too"))
+        self.assertEqual(self.recorded, ["late"])
+
     def test_an_answer_settles_a_doubt_unless_connections_fail(self):
         self.defer("silent")
         self.uplink.record_answer()
