pushback: the default of FleetEntries.absent is a list

Cause: the default was a dataclass field, which the struct took for the value itself: a message built without it could not be encoded. Control always gives the list, so nothing was seen; found beside other work. No behaviour else.

--- a/src/cinderway/pushback/_messages.py
+++ b/src/cinderway/pushback/_messages.py
@@ -1,7 +1,6 @@
 """Messages by which processes exchange servers' rate limits."""
 
 from collections.abc import Mapping
-from dataclasses import field
 
 from cinderway._ids import Address, EntryName, ServerName
 from cinderway.pushback._limits import RateLimit
@@ -53,7 +52,7 @@
     replica: Address
     replicas: list[Address]
     entries: list[EntryName]
-    absent: list[EntryName] = field(default_factory=list)
+    absent: list[EntryName] = []
     reserve_percent: int = 0
     window_ms: int = 0
     overshoot_ratio: float = 0.0
