entry: a relay that is asked and then hears nothing ends

Cause: an entry that loses power between the handshake and its request left a connection and, with a large body, a place among the relays for good. Found by reading. Change: the request has a second, and a large body the time until its deadline.

--- a/src/cinderway/entry/fleet/_relay_server.py
+++ b/src/cinderway/entry/fleet/_relay_server.py
@@ -37,6 +37,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Time from the handshake to the whole request but for a large body, which has until the
+# request's deadline. An entry that loses power in between says nothing.
+REQUEST_TIMEOUT_S = 1.0
 # Leaves most of an entry's processor to its own callers; entries that get no room ask
 # others.
 RELAYS_AT_ONCE = 16
@@ -61,7 +64,8 @@
         return Route(RELAY, self._serve)
 
     async def _serve(self, connection: Connection, name: str) -> None:
-        request = (await connection.receive()).message
+        with anyio.fail_after(REQUEST_TIMEOUT_S):
+            request = (await connection.receive()).message
         if not isinstance(request, RelayRequest):
             return
         received_at_ms = monotonic_ms()
@@ -75,7 +79,8 @@
         self.board.in_flight += 1
         self.held.add(request.body_bytes)
         try:
-            body = await _receive_body(connection, request)
+            with anyio.fail_after(request.remaining_ms / 1000):
+                body = await _receive_body(connection, request)
             relayed = _Relayed(request, body, received_at_ms + request.remaining_ms)
             await self._relay(connection, relayed)
         finally:
