tests: a question for a retry that a silent replica got (known red)

One that stands still gives the same symptom: a question is given up after 1 s, and a silent replica is left after 1.6 s.

--- a/tests/entry/fleet/test_retry_at_replica_change.py
+++ b/tests/entry/fleet/test_retry_at_replica_change.py
@@ -76,6 +76,12 @@
         await self.follower.wait_disconnected()
         return await self.consume()
 
+    async def consume_at_silent_replica(self):
+        """Ask a replica that has lost power, which its connection does not show."""
+        self.prepare()
+        self.followed.has_power = False
+        return await self.consume()
+
     async def consume_after_change(self):
         self.prepare()
         self.lose_replica()
@@ -96,6 +102,12 @@
     def test_a_new_replicas_growing_budget_is_awaited(self):
         self.assertTrue(self.play(self.consume_after_change)[0])
 
+    def test_a_question_that_a_silent_replica_got_is_put_to_the_next_one(self):
+        # The time until the deadline, less what an answer usually takes.
+        is_granted, waited_ms = self.play(self.consume_at_silent_replica)
+        self.assertTrue(is_granted)
+        self.assertLess(waited_ms, DEADLINE_MS)
+
     def test_a_failure_is_not_held_while_control_stays_away(self):
         async def consume_twice():
             self.lose_control()
