--- a/src/cinderway/reachability/_uplink.py
+++ b/src/cinderway/reachability/_uplink.py
@@ -65,6 +65,11 @@
         """Whether no server can be connected to."""
         return self.state is UplinkState.CUT_OFF
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether connections fail, or failures wait to be recorded."""
+        return bool(self.unreachable or self._deferred)
+
     def record_connected(self, now_ms: int) -> None:
         """Record that a connection to a server was opened."""
         self.last_connected_at_ms = now_ms
