entry: leave a silent control replica while a retry waits for its answer

Callers saw: a server's 500 to a repeatable request although another server was free. Cause: a question for a retry was given up after 1 s and a silent replica left after 1.6 s, so a replica that stood still refused every retry that was asked of it until then. The time-out was shorter than the detection of the failure that it waited out. Change: 0.6 s after a question a replica that has sent nothing since, though its heartbeats come twice a second, is left if the standby has been heard or there is none. The question goes to the next replica; one that the silent replica still grants is not used.

--- a/src/cinderway/entry/fleet/_catalog_follower.py
+++ b/src/cinderway/entry/fleet/_catalog_follower.py
@@ -56,6 +56,10 @@
 # A leader that is partitioned off notices it within 0.9 s. With that, this limit and a
 # heartbeat interval, an entry in a partition leaves the minority's replicas within 3 s.
 KNOWLEDGE_AGE_LIMIT_MS = 1_300
+# Longer than the interval between a replica's heartbeats: one that is asked something
+# and sends nothing for this long stands still, and does not only answer slowly.
+SILENT_REPLICA_MS = 600
+SILENCE_POLL_S = 0.05
 # Pause between two attempts that each try all replicas.
 RECONNECT_PAUSE_S = 0.1
 # Revokes all verdicts that are in force.
@@ -81,6 +85,8 @@
     _is_disconnected: anyio.Event = field(default_factory=anyio.Event)
     # When the last message from the followed replica arrived.
     _received_at_ms: int = 0
+    # Ends when the followed replica is left as silent.
+    _silence_scope: anyio.CancelScope | None = None
     _sent_times: HeartbeatSendTimes = field(default_factory=HeartbeatSendTimes)
     _requests: ReplicaRequests = field(default_factory=ReplicaRequests)
 
@@ -110,7 +116,7 @@
         )
         self._reserve = AllowanceReserve(self.settings.name, monotonic_ms())
         self.allowances = Allowances(self._request_allowances, reserve=self._reserve)
-        self._retries = SharedRetries(self._requests)
+        self._retries = SharedRetries(self._requests, self._leave_when_silent)
 
     def apply_settings(self, settings: CatalogEntrySettings) -> None:
         """Apply the settings that may change while the process runs: the seeds."""
@@ -273,6 +279,7 @@
         # A single scope whose deadline is moved: opening a new one for each message
         # would cost as much as reading the message.
         with anyio.fail_after(SILENCE_TIMEOUT_S) as silence_scope:
+            self._silence_scope = silence_scope
             while self._choice.is_home(address) or (
                 not self._standby.is_current_at_home
             ):
@@ -284,6 +291,24 @@
                     is_sending_loads = True
                     tasks.start_soon(self._reports.send_loads, connection)
 
+    async def _leave_when_silent(self) -> None:
+        """Leave the replica once it is silent, from now on, and another is not."""
+        since_ms = monotonic_ms()
+        while not self._is_silent_since(since_ms, monotonic_ms()):
+            since_ms = max(since_ms, self._received_at_ms)
+            await anyio.sleep(SILENCE_POLL_S)
+        if self._silence_scope is not None:
+            self._silence_scope.deadline = anyio.current_time()
+
+    def _is_silent_since(self, since_ms: int, now_ms: int) -> bool:
+        """Whether the followed replica has been silent for long, and it alone."""
+        if now_ms < since_ms + SILENT_REPLICA_MS or self._received_at_ms > since_ms:
+            return False
+        if self._standby.is_connected:
+            return self._standby.received_at_ms > since_ms
+        # Also if the others have failed a moment ago, as all do while the fleet starts.
+        return len(self._choice.candidates(now_ms)) > 1
+
     def _receive_message(
         self, envelope: Envelope, address: Address, now_ms: int
     ) -> None:
--- a/src/cinderway/entry/fleet/_shared_retries.py
+++ b/src/cinderway/entry/fleet/_shared_retries.py
@@ -1,5 +1,6 @@
 """Retries from the budget of the followed replica, also while that replica changes."""
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import anyio
@@ -8,7 +9,7 @@
 from cinderway.catalog import RetryAnswer, TakeRetry
 from cinderway.entry._blackboard import ServiceState
 from cinderway.entry.fleet._questions import ReplicaRequests
-from cinderway.wire import Connection
+from cinderway.wire import Connection, Message
 
 # A replica answers within a few milliseconds, or within some hundreds on a busy link or
 # a busy instance. A retry that is granted late can still save the request. A replica
@@ -17,16 +18,23 @@
 RETRY_TIMEOUT_S = 1.0
 
 
+async def keep_replica() -> None:
+    """Leave no replica."""
+
+
 @dataclass
 class SharedRetries:
     """Asks the followed replica for retries; without one, uses the local budgets.
 
     A question that is lost with its replica is put to the next one. A failure waits
     for the next replica, but only for a short time after the loss: while control stays
-    away, nothing is gained by holding a failed request.
+    away, nothing is gained by holding a failed request. A replica that falls silent is
+    left early, since its loss would be noticed only when the question has been given
+    up: `leave_when_silent` runs while a question is not answered.
     """
 
     requests: ReplicaRequests
+    leave_when_silent: Callable[[], Awaitable[None]] = keep_replica
 
     async def consume(
         self, service: ServiceState, until_ms: float, *, after_failure: bool
@@ -41,7 +49,7 @@
                 if not after_failure or not await self._wait_for_replica(until_ms):
                     return False
             asked = self.requests.connection
-            answer = await self.requests.call(question, _compute_left_s(until_ms))
+            answer = await self._ask(question, _compute_left_s(until_ms))
             if not isinstance(answer, RetryAnswer):
                 if not await self._wait_for_change(asked, until_ms):
                     return False
@@ -53,6 +61,15 @@
                 return False
             await anyio.sleep(answer.due_in_ms / 1000)
 
+    async def _ask(self, question: TakeRetry, timeout_s: float) -> Message | None:
+        """Put a question to the followed replica; None without an answer."""
+        answer: Message | None = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.leave_when_silent)
+            answer = await self.requests.call(question, timeout_s)
+            tasks.cancel_scope.cancel()
+        return answer
+
     async def _wait_for_replica(self, until_ms: float) -> bool:
         """Wait until a replica is followed; False if that takes too long."""
         lost_at_ms = self.requests.lost_at_ms
--- a/src/cinderway/entry/fleet/_standby.py
+++ b/src/cinderway/entry/fleet/_standby.py
@@ -67,6 +67,8 @@
     record_age: Callable[[int, int], None]
     age_limit_ms: int
     fetches: int = 0
+    # When the last heartbeat of a standby arrived.
+    received_at_ms: int = 0
     _session: ControlSession | None = None
     # The time at which the standby's knowledge was current, by its last heartbeat.
     _current_at_ms: int | None = None
@@ -88,6 +90,11 @@
             else:
                 await anyio.sleep(RETRY_PAUSE_S)
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether there is a session with a standby."""
+        return self._session is not None
+
     @property
     def is_current(self) -> bool:
         """Whether a recent heartbeat shows that the standby's knowledge is current."""
@@ -186,7 +193,8 @@
                 self._is_fetching = False
                 logger.info("cannot fetch the catalog from the standby: %s", detail)
             case CatalogHeartbeat(knowledge_age_ms=age_ms, revision=revision):
-                sent_at_ms = self._sent_times.record_heartbeat(monotonic_ms())
+                self.received_at_ms = monotonic_ms()
+                sent_at_ms = self._sent_times.record_heartbeat(self.received_at_ms)
                 self._current_at_ms = sent_at_ms - age_ms
                 self._revision = revision
                 self._compare_revisions(age_ms, sent_at_ms)
--- a/tests/system/test_catalog.py
+++ b/tests/system/test_catalog.py
@@ -577,28 +577,36 @@
         self.assertEqual(json.loads(self.fleet.read_sheet())["version"], 7)
         self.send_until(200, "/seven/x", "g1")
 
-    def kill_followed_replica(self):
-        """Kill the control replica that the entry follows."""
+    def find_followed_replica(self):
+        """Return the name of the control replica that the entry follows."""
         log = self.fleet.read_log("entry-0")
         host = re.findall(r"following control replica ([\d.]+):", log)[-1]
         hosts = [control.rpartition(":")[0] for control in self.fleet.controls]
-        self.fleet.kill(f"control-{hosts.index(host)}")
+        return f"control-{hosts.index(host)}"
 
-    def test_a_failed_request_is_retried_while_the_entry_changes_its_replica(self):
-        """The retry was refused, so the caller got the first server's 500."""
+    def assert_retried(self, hinder_replica):
+        """Hinder the followed replica while a server answers 500."""
         failed = []
 
         def fail_first(attempt):
             if failed:
                 return 200
             failed.append(attempt)
-            self.kill_followed_replica()
+            hinder_replica(self.find_followed_replica())
             return 500
 
         for name in ("look1", "look2"):
             self.servers[name].handle_attempt = fail_first
         self.assertEqual(self.send("/look/x", "change").status, 200)
 
+    def test_a_failed_request_is_retried_while_the_entry_changes_its_replica(self):
+        """The retry was refused, so the caller got the first server's 500."""
+        self.assert_retried(self.fleet.kill)
+
+    def test_a_failed_request_is_retried_although_its_replica_falls_silent(self):
+        """The question was given up before the replica, so the caller got the 500."""
+        self.assert_retried(lambda name: self.fleet.signal(name, signal.SIGSTOP))
+
     def test_a_stopping_entry_completes_its_requests(self):
         release = threading.Event()
         for name in ("sub1", "sub2"):
