entry: an unexpected answer to a relayed request is no refusal

Cause: the answer of the entry that relays was matched against a head, a refusal and a failure, and anything else fell through to the next entry, which sent the request again. Change: anything else leaves the outcome unknown; the model's link keeps the order. Tests: the new test with a peer that answers out of turn failed before (step connect). New as well: servers that a cut-off entry cannot reach are not suspected of being unreachable or broken, and are without the deferral.

--- a/src/cinderway/entry/servers/_relays.py
+++ b/src/cinderway/entry/servers/_relays.py
@@ -199,7 +199,8 @@
     async def send(self, wanted: RelayRequest, body: bytes) -> Message:
         """Send the request; return a head, a refusal or a failure.
 
-        Raises RelayError if the connection breaks: the request may have run.
+        Raises RelayError if the connection breaks, or if anything else arrives: the
+        request may have run.
         """
         try:
             await self._connection.send(wanted)
@@ -208,14 +209,19 @@
                 await self._send_body(body)
                 message = (await self._connection.receive()).message
         except CinderwayError as error:
-            raise RelayError(
-                ErrorCode.BACKEND_FAILED,
-                f"the entry that relays the request was lost: {error.detail}",
-                step=Step.AWAIT_ANSWER,
-                peer=self.address,
-            ) from error
+            raise self._build_lost_error(error.detail) from error
+        if not isinstance(message, RelayedHead | RelayRefused | RelayedFailure):
+            raise self._build_lost_error(f"it sent {type(message).__name__}")
         return message
 
+    def _build_lost_error(self, detail: str) -> RelayError:
+        return RelayError(
+            ErrorCode.BACKEND_FAILED,
+            f"the entry that relays the request was lost: {detail}",
+            step=Step.AWAIT_ANSWER,
+            peer=self.address,
+        )
+
     async def _send_body(self, body: bytes) -> None:
         self._connection.limit_send_buffer(SEND_PIECE_BYTES)
         for start in range(0, len(body), SEND_PIECE_BYTES):
@@ -236,6 +242,8 @@
                     return
                 case RelayedFailure(detail=detail):
                     raise httpcore.ReadError(detail)
+                case _:
+                    raise httpcore.ReadError(f"got {type(message).__name__}")
 
     async def release(self, response: object) -> None:
         """Close the connection, as each one carries one request."""
--- a/src/cinderway/experiment/_relays.py
+++ b/src/cinderway/experiment/_relays.py
@@ -73,6 +73,7 @@
     peer: str
     delay_ms: float
     other: "LinkEnd | None" = None
+    _in_transit: list[Message] = field(default_factory=list)
     _arrived: list[Message] = field(default_factory=list)
     _is_closed: bool = False
     _changed: anyio.Event = field(default_factory=anyio.Event)
@@ -81,7 +82,9 @@
         """Send a message; it arrives after the link's latency."""
         if self._is_closed:
             raise _build_error("the connection broke", Step.SEND, self.peer)
-        call_later(self.delay_ms, self.other._deliver, message)
+        self.other._in_transit.append(message)
+        # Messages sent at the same moment arrive in order, which timers do not.
+        call_later(self.delay_ms, self.other._deliver_next)
 
     async def receive(self) -> Envelope:
         """Return the next message; raise CinderwayError at the end of the link."""
@@ -100,8 +103,8 @@
         self._close()
         call_later(self.delay_ms, self.other._close)
 
-    def _deliver(self, message: Message) -> None:
-        self._arrived.append(message)
+    def _deliver_next(self) -> None:
+        self._arrived.append(self._in_transit.pop(0))
         self._changed.set()
 
     def _close(self) -> None:
--- a/tests/entry/servers/test_relays.py
+++ b/tests/entry/servers/test_relays.py
@@ -18,7 +18,7 @@
 from cinderway.entry.servers._messages import BackendRequest, HeaderNames
 from cinderway.entry.servers._relays import RelayError, Relays
 from cinderway.judgement import EvidenceLog
-from cinderway.reachability import PeerFailure, RelayPeers
+from cinderway.reachability import PeerFailure, RelayedEnd, RelayPeers
 from cinderway.table import ServerRow, ServiceRow
 from cinderway.wire import Identity, serve_connections
 from standins.catalog_fleet import RegisteredServer
@@ -209,6 +209,17 @@
         anyio.run(run)
         self.assertIs(found[0].step, Step.AWAIT_ANSWER)
 
+    def test_an_unexpected_answer_leaves_the_outcome_unknown(self):
+        """Taken for a refusal, it sent the request through a second entry."""
+
+        async def answer_out_of_turn(connection, name):
+            await connection.receive()
+            await connection.send(RelayedEnd())
+
+        self.relaying.relay_server._serve = answer_out_of_turn
+        error = self.get_error(self.asking.send)
+        self.assertIs(error.step, Step.AWAIT_ANSWER)
+
     def test_without_other_entries_servers_are_tried_directly(self):
         status, _ = anyio.run(self.asking.send)
         self.assertEqual(status, 200)
--- a/tests/experiment/test_cut_off_entries.py
+++ b/tests/experiment/test_cut_off_entries.py
@@ -1,11 +1,14 @@
 """Callers of entries that have lost their paths to servers are served nevertheless."""
 
 import unittest
+from unittest.mock import patch
 
 from cinderway._ids import DataHall
 from cinderway.catalog import RouteKind
 from cinderway.experiment import Outcome, play
 from cinderway.experiment._declaration import CutMode, Fault, FaultKind
+from cinderway.judgement import FailureKind, Suspicions
+from cinderway.reachability import Uplink
 
 from ._declared import experiment, route, service
 
@@ -74,3 +77,43 @@
                     played = play(declare_cut(mode, share), seed=1)
                     at_cut_off, at_others = compute_served_shares(played)
                     self.assertGreaterEqual(at_cut_off, SERVED_RATIO * at_others)
+
+    def test_run_once_requests_reach_one_server_at_most(self):
+        for mode in CutMode:
+            with self.subTest(mode=mode):
+                played = play(declare_cut(mode, share=0.75), seed=2)
+                sent = sum(r.route == "submit" for r in played.results)
+                arrived = sum(
+                    arrivals
+                    for server, arrivals in played.server_arrivals.items()
+                    if server.startswith("submit")
+                )
+                self.assertLessEqual(arrived, sent)
+
+
+class ReportsOfCutOffEntriesTests(unittest.TestCase):
+    """Servers that a cut-off entry cannot reach are healthy: nobody may avoid them."""
+
+    def count_alarms(self, mode):
+        """Return how often a server was suspected of being unreachable or broken."""
+        kinds = []
+        record_alarm = Suspicions.record_alarm
+
+        def record(suspicions, server, kind, now_ms):
+            kinds.append(kind)
+            return record_alarm(suspicions, server, kind, now_ms)
+
+        with patch.object(Suspicions, "record_alarm", record):
+            play(declare_cut(mode, share=0.75), seed=1)
+        return sum(kind in (FailureKind.UNREACHABLE, FailureKind.CUT) for kind in kinds)
+
+    def test_no_server_is_suspected_of_being_unreachable(self):
+        for mode in CutMode:
+            with self.subTest(mode=mode):
+                self.assertEqual(self.count_alarms(mode), 0)
+
+    def test_without_the_deferral_servers_are(self):
+        with patch.object(Uplink, "defer", lambda uplink, record: record()):
+            for mode in CutMode:
+                with self.subTest(mode=mode):
+                    self.assertGreater(self.count_alarms(mode), 0)
