--- a/tools/guards.py
+++ b/tools/guards.py
@@ -58,11 +58,47 @@
 SAFETY_TESTS = "tests.replication.test_group_safety"
 COMMIT_TESTS = "tests.replication.test_commit_safety"
 PUSHBACK_TESTS = "tests.entry.servers.test_pushback"
+RELAY_TESTS = "tests.entry.servers.test_relays"
 LIMIT_TESTS = "tests.entry.servers.test_limits"
 SHARE_TESTS = "tests.pushback.test_rate_shares"
 TURN_TESTS = "tests.pushback.test_token_bucket"
 
 GUARDS = [
+    Guard(
+        "an entry relays nothing to a server that must get no requests from it",
+        "entry/fleet/_relay_server.py",
+        "        error = check_server(*found, now_ms)\n",
+        "        error = None\n",
+        RELAY_TESTS,
+    ),
+    Guard(
+        "an unexpected answer to a relayed request leaves the outcome unknown",
+        "entry/servers/_relays.py",
+        "if not isinstance(message, RelayedHead | RelayRefused | RelayedFailure):",
+        "if False:",
+        RELAY_TESTS,
+    ),
+    Guard(
+        "an entry that is cut off from a service relays nothing to it",
+        "entry/fleet/_relay_server.py",
+        "        if self.board.uplinks.of(request.service).is_cut_off:\n",
+        "        if False:\n",
+        RELAY_TESTS,
+    ),
+    Guard(
+        "failures that a cut explains are dropped when the entry is cut off",
+        "reachability/_uplink.py",
+        "        if self.is_cut_off:\n            return\n",
+        "",
+        "tests.reachability.test_uplink",
+    ),
+    Guard(
+        "a silent control replica is left while a retry waits",
+        "entry/fleet/_catalog_follower.py",
+        "            self._silence_scope.deadline = anyio.current_time()\n",
+        "            pass\n",
+        "tests.entry.fleet.test_retry_at_replica_change",
+    ),
     Guard(
         "a replica drops messages for its previous identity",
         CORE,
