--- a/src/cinderway/entry/servers/_dispatch.py
+++ b/src/cinderway/entry/servers/_dispatch.py
@@ -24,7 +24,7 @@
 )
 from cinderway.entry.servers._notes import AttemptRecorder, OutgoingAttempt
 from cinderway.entry.servers._permit import UNLIMITED, Permit
-from cinderway.entry.servers._relays import RelayError, RequestRelays
+from cinderway.entry.servers._relays import RelayError, RelayOrder, RequestRelays
 from cinderway.entry.servers._send_checks import check_rate_limit, check_server
 from cinderway.entry.servers._slots import SlotRequirements, Slots
 from cinderway.judgement import (
@@ -317,18 +317,19 @@
         self.attempts += 1
         self.evidence.exclude(outgoing.attempt)
         server = outgoing.server
+        order = RelayOrder(
+            outgoing,
+            request,
+            deadline_ms,
+            permit.digest,
+            is_repeatable,
+            lambda: _check_before_write(outgoing, permit),
+            record_use,
+        )
         is_sent = True
         try:
             with anyio.fail_after(max(deadline_ms - monotonic_ms(), 0) / 1000):
-                return await self.relays.send(
-                    outgoing,
-                    request,
-                    deadline_ms,
-                    digest=permit.digest,
-                    is_repeatable=is_repeatable,
-                    objection=lambda: _check_before_write(outgoing, permit),
-                    record_use=record_use,
-                )
+                return await self.relays.send(order)
         except TimeoutError as error:
             raise _build_timeout_error(server) from error
         except CinderwayError as error:
--- a/src/cinderway/entry/servers/_relays.py
+++ b/src/cinderway/entry/servers/_relays.py
@@ -61,26 +61,33 @@
     is_connection_lost = False
 
 
+@dataclass(frozen=True)
+class RelayOrder:
+    """A request to be sent through another entry to the server chosen for it.
+
+    `objection` is asked before each entry gets the request, and `record_use` called if
+    it has none.
+    """
+
+    outgoing: OutgoingAttempt
+    request: BackendRequest
+    deadline_ms: int
+    digest: RequestDigest
+    is_repeatable: bool
+    objection: Objection
+    record_use: UseRecorder
+
+
 class RequestRelays(Protocol):
     """A way to send requests through other entries."""
 
     def can_relay(self, now_ms: int) -> bool:
         """Whether there is an entry to ask."""
 
-    async def send(
-        self,
-        outgoing: OutgoingAttempt,
-        request: BackendRequest,
-        deadline_ms: int,
-        *,
-        digest: RequestDigest,
-        is_repeatable: bool,
-        objection: Objection,
-        record_use: UseRecorder,
-    ) -> BackendAnswer:
+    async def send(self, order: RelayOrder) -> BackendAnswer:
         """Send a request through another entry; return the head of its answer.
 
-        Raises RelayError, or the error that `objection` returns before each attempt.
+        Raises RelayError, or the error that the order's `objection` returns.
         """
 
 
@@ -103,17 +110,7 @@
         """Whether there is an entry to ask."""
         return self.peers.has_usable(now_ms)
 
-    async def send(
-        self,
-        outgoing: OutgoingAttempt,
-        request: BackendRequest,
-        deadline_ms: int,
-        *,
-        digest: RequestDigest,
-        is_repeatable: bool,
-        objection: Objection,
-        record_use: UseRecorder,
-    ) -> BackendAnswer:
+    async def send(self, order: RelayOrder) -> BackendAnswer:
         """Send a request through one entry after the other until one accepts it."""
         tried: set[Address] = set()
         reasons: list[str] = []
@@ -122,48 +119,55 @@
             if peer is None:
                 break
             tried.add(peer)
-            connection = await self._connect(peer)
-            if connection is None:
-                self._record_failure(peer, PeerFailure.UNREACHABLE)
-                reasons.append(f"{peer} {PeerFailure.UNREACHABLE.value}")
-                continue
-            exchange = _RelayExchange(connection, peer, self.peers)
-            try:
-                error = objection()
-                if error is not None:
-                    raise error
-                record_use(ConnectionUse.RELAYED)
-                wanted = _build_relay_request(
-                    outgoing, request, deadline_ms, digest, is_repeatable
-                )
-                answered = await exchange.send(wanted, request.body)
-            except BaseException:
-                await exchange.aclose()
-                raise
-            match answered:
-                case RelayedHead(status=status, headers=headers):
-                    self._count("answered")
-                    return BackendAnswer(
-                        status, headers, exchange, exchange, self.names
-                    )
-                case RelayRefused(reason=reason, detail=detail):
-                    await exchange.aclose()
-                    self._record_failure(peer, reason)
-                    reasons.append(f"{peer} {reason.value}: {detail}")
-                case RelayedFailure() as failure:
-                    await exchange.aclose()
-                    if failure.step is Step.CONNECT:
-                        self._record_failure(peer, PeerFailure.SERVER_UNREACHABLE)
-                    else:
-                        self._count("failed")
-                    raise _build_server_error(failure, peer)
+            answered = await self._ask(peer, order)
+            if isinstance(answered, BackendAnswer):
+                self._count("answered")
+                return answered
+            self.peers.record_failure(peer, answered.reason, monotonic_ms())
+            self._count(answered.reason.value)
+            reasons.append(f"{peer} {answered.reason.value}: {answered.detail}")
         raise RelayError(
             ErrorCode.BACKEND_FAILED,
             f"no other entry relays the request: {'; '.join(reasons) or 'none known'}",
             step=Step.CONNECT,
-            peer=outgoing.server.row.address,
+            peer=order.outgoing.server.row.address,
         )
 
+    async def _ask(
+        self, peer: Address, order: RelayOrder
+    ) -> BackendAnswer | RelayRefused:
+        """Ask one entry; raise RelayError if it tried and failed."""
+        connection = await self._connect(peer)
+        if connection is None:
+            return RelayRefused(PeerFailure.UNREACHABLE, "no connection")
+        exchange = _RelayExchange(connection, peer, self.peers)
+        message: Message | None = None
+        try:
+            error = order.objection()
+            if error is not None:
+                raise error
+            order.record_use(ConnectionUse.RELAYED)
+            message = await exchange.send(_build_message(order), order.request.body)
+        finally:
+            if not isinstance(message, RelayedHead):
+                await exchange.aclose()
+        match message:
+            case RelayedHead(status=status, headers=headers):
+                return BackendAnswer(status, headers, exchange, exchange, self.names)
+            case RelayedFailure() as failure:
+                self._record_server_failure(peer, failure)
+                raise _build_server_error(failure, peer)
+        return message
+
+    def _record_server_failure(self, peer: Address, failure: RelayedFailure) -> None:
+        """Leave an entry alone for a moment that could not connect to the server."""
+        if failure.step is not Step.CONNECT:
+            self._count("failed")
+            return
+        reason = PeerFailure.SERVER_UNREACHABLE
+        self.peers.record_failure(peer, reason, monotonic_ms())
+        self._count(reason.value)
+
     async def _connect(self, peer: Address) -> Connection | None:
         started_at_ms = monotonic_ms()
         try:
@@ -176,10 +180,6 @@
         self._connect_timeout.record_connect_time(monotonic_ms() - started_at_ms)
         return connection
 
-    def _record_failure(self, peer: Address, failure: PeerFailure) -> None:
-        self.peers.record_failure(peer, failure, monotonic_ms())
-        self._count(failure.value)
-
     def _count(self, outcome: str) -> None:
         self.metrics.count("relayed_total", {"outcome": outcome})
 
@@ -258,13 +258,8 @@
             await self._connection.aclose()
 
 
-def _build_relay_request(
-    outgoing: OutgoingAttempt,
-    request: BackendRequest,
-    deadline_ms: int,
-    digest: RequestDigest,
-    is_repeatable: bool,
-) -> RelayRequest:
+def _build_message(order: RelayOrder) -> RelayRequest:
+    outgoing, request = order.outgoing, order.request
     is_large = len(request.body) >= LARGE_BODY_BYTES
     return RelayRequest(
         service=outgoing.service.row.name,
@@ -275,9 +270,9 @@
         body=b"" if is_large else request.body,
         body_bytes=len(request.body),
         attempt_id=outgoing.attempt_id,
-        remaining_ms=max(deadline_ms - monotonic_ms(), 0),
-        is_repeatable=is_repeatable,
-        digest=digest,
+        remaining_ms=max(order.deadline_ms - monotonic_ms(), 0),
+        is_repeatable=order.is_repeatable,
+        digest=order.digest,
     )
 
 
