--- a/tests/entry/servers/test_relays.py
+++ b/tests/entry/servers/test_relays.py
@@ -220,6 +220,47 @@
         error = self.get_error(self.asking.send)
         self.assertIs(error.step, Step.AWAIT_ANSWER)
 
+    def test_a_stopping_entry_completes_what_it_relays(self):
+        """It stops once nothing is in flight, so a relayed request must count."""
+        released = threading.Event()
+        self.addCleanup(released.set)
+        self.backend.handle_attempt = lambda attempt: released.wait(5) and 200
+        answers = []
+
+        async def send():
+            answers.append(await self.asking.send(b"pay"))
+
+        async def test():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(send)
+                while not self.backend.arrivals:
+                    await anyio.sleep(0.01)
+                self.relaying.board.is_leaving = True
+                self.assertEqual(self.relaying.board.in_flight, 1)
+                released.set()
+
+        self.run_with_peer(test)
+        self.assertEqual(answers, [(200, b"pay")])
+        self.assertEqual(self.relaying.board.in_flight, 0)
+
+    def test_a_repeatable_request_is_cancelled_with_its_asking_entry(self):
+        """The server must not go on working for a caller that has left."""
+        released = threading.Event()
+        self.addCleanup(released.set)
+        self.backend.handle_attempt = lambda attempt: released.wait(5) and 200
+
+        async def test():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(lambda: self.asking.send(is_repeatable=True))
+                while not self.backend.arrivals:
+                    await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+            with anyio.fail_after(5):
+                while self.relaying.relay_server.in_progress:
+                    await anyio.sleep(0.01)
+
+        self.run_with_peer(test)
+
     def test_without_other_entries_servers_are_tried_directly(self):
         status, _ = anyio.run(self.asking.send)
         self.assertEqual(status, 200)
