entry: a standby session with the followed replica is no standby

Cause: an entry that cannot take its standby over opens a connection of its own, which may be to the same replica; the standby's session stays until its next message. While that replica stood still it counted as another one that was silent as well, so the entry stayed. Change: such a session does not count.

--- a/src/cinderway/entry/fleet/_standby.py
+++ b/src/cinderway/entry/fleet/_standby.py
@@ -92,8 +92,12 @@
 
     @property
     def is_connected(self) -> bool:
-        """Whether there is a session with a standby."""
-        return self._session is not None
+        """Whether there is a session with another replica than the followed one.
+
+        Until its next message, one with a replica that is followed since remains.
+        """
+        session = self._session
+        return session is not None and session.address != self.choice.followed
 
     @property
     def is_current(self) -> bool:
