review: case 1, a silent voter loses its vote while another one is replaced

While one core machine is replaced, another one that is only cut off or frozen for some seconds is removed from the voters in place of the one that is gone, and never asks to join again. Two lost machines later the acknowledged config cannot be read any more.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Runs the case; exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
+cd "$(dirname "$0")/.." || exit 2
+exec timeout --kill-after=5 118 python3 1/case.py
