--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,7 @@
-"""A planned replacement of a core machine, then the loss of two disks.
+"""A planned replacement of a core machine, a killed leader, then two lost disks.
 
-The replaced machine has been taken away and its successor has had its time, so that
-two more machines may lose their disks. The acknowledged config must still be readable.
+Each event comes when the ones before count as over. The acknowledged config must still
+be readable after the last one.
 """
 
 import sys
@@ -14,7 +14,9 @@
 from harness import (  # noqa: E402
     BOUNDS,
     NOT_RUN,
+    RESTART_DELAY_S,
     START_LIMIT_S,
+    Machine,
     Operator,
     Platform,
     Record,
@@ -24,11 +26,10 @@
 )
 
 CORE = 5
-# The successor counts as lost until catchUpS after its start; a second is added.
-SUCCESSOR_TIME_S = BOUNDS["catchUpS"] + 1
-# Two machines lose their disks this long after the replaced machine is gone: later than
-# any reading of the pages counts it as lost.
-NEXT_LOSS_S = BOUNDS["catchUpS"] + 0.2
+# A machine counts as lost until catchUpS after its start; a little is added.
+RETURN_TIME_S = BOUNDS["catchUpS"] + 0.2
+# The leader is killed this long after the replaced machine has ended.
+KILL_AFTER_S = 4.0
 
 
 def play(platform: Platform, record: Record, is_troubled: bool) -> int:
@@ -42,22 +43,32 @@
     if is_troubled:
         record.write(f"{successor.name} is added with an empty disk")
         successor.start()
-    time.sleep(SUCCESSOR_TIME_S)
+    time.sleep(RETURN_TIME_S)
     if is_troubled:
-        replaced = core[4]
+        replaced = core.pop()
         record.write(f"{replaced.name} gets SIGTERM")
         replaced.terminate()
         record.write(f"{replaced.name} has ended and is gone for good")
-    next_loss_at_s = time.monotonic() + NEXT_LOSS_S
+        core.append(successor)
+    time.sleep(KILL_AFTER_S)
+    leader = _put_leader_first(operator, core)[0]
+    leader.kill()
+    record.write(f"{leader.name}, which leads, is killed")
+    time.sleep(RESTART_DELAY_S)
+    leader.start()
+    record.write(f"{leader.name} starts again with its disk")
+    counts_at_s = time.monotonic() + RETURN_TIME_S
     if not operator.put(build_sheet(8), BOUNDS["ackMs"] / 1000):
         return NOT_RUN
-    time.sleep(max(next_loss_at_s - time.monotonic(), 0))
-    # The replica that acted last is one of the two, as in the bench's `how = leader`.
-    leader = operator.find_leader()
-    candidates = [*core[:4], successor] if is_troubled else core
-    lost = sorted(candidates, key=lambda machine: machine.control != leader)[:2]
+    time.sleep(max(counts_at_s - time.monotonic(), 0))
+    lost = _put_leader_first(operator, core)[:2]
     return lose_disks_and_read_back(record, operator, lost, 8)
 
 
+def _put_leader_first(operator: Operator, core: list[Machine]) -> list[Machine]:
+    leader = operator.find_leader()
+    return sorted(core, key=lambda machine: machine.control != leader)
+
+
 if __name__ == "__main__":
     sys.exit(run_case(FOLDER, play, machines=CORE + 1, subnet=23))
--- a/review/harness.py
+++ b/review/harness.py
@@ -197,7 +197,8 @@
     def last_log_line(self) -> str:
         """Return the last line that its processes wrote."""
         text = (self.platform.folder / f"{self.name}.log").read_text()
-        return (text.strip().splitlines() or [""])[-1]
+        line = (text.strip().splitlines() or [""])[-1]
+        return line.replace(f"{self.platform.folder}/", "")
 
     def _fields(self, bootstrap: bool) -> dict:
         platform = self.platform
