--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,6 +4,7 @@
 disks. The acknowledged config must still be readable.
 """
 
+import os
 import signal
 import sys
 import time
@@ -63,4 +64,12 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, play, machines=CORE + 1, subnet=21))
+    sys.exit(
+        run_case(
+            FOLDER / "record.txt",
+            play,
+            is_troubled=os.environ.get("TROUBLE") != "0",
+            machines=CORE + 1,
+            subnet=21,
+        )
+    )
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,6 +4,7 @@
 two others lose their disks. The acknowledged config must still be readable.
 """
 
+import os
 import re
 import sys
 import time
@@ -87,4 +88,12 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, play, machines=CORE, subnet=22))
+    sys.exit(
+        run_case(
+            FOLDER / "record.txt",
+            play,
+            is_troubled=os.environ.get("TROUBLE") != "0",
+            machines=CORE,
+            subnet=22,
+        )
+    )
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -4,6 +4,7 @@
 be readable after the last one.
 """
 
+import os
 import sys
 import time
 from pathlib import Path
@@ -71,4 +72,12 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, play, machines=CORE + 1, subnet=23))
+    sys.exit(
+        run_case(
+            FOLDER / "record.txt",
+            play,
+            is_troubled=os.environ.get("TROUBLE") != "0",
+            machines=CORE + 1,
+            subnet=23,
+        )
+    )
--- a/review/harness.py
+++ b/review/harness.py
@@ -4,11 +4,10 @@
 `deploy/system.toml` as processes on loopback addresses, and restarts a process that
 ends by itself. Each machine has an address and a data folder of its own. The operator
 stand-in follows redirects and moves on to another replica, as the pages describe.
-
-`TROUBLE=0` in the environment leaves the disruption under test out of a case.
 """
 
 import http.client
+import itertools
 import json
 import os
 import random
@@ -55,8 +54,14 @@
 TOLERATED_MACHINES = 2
 # The platform restarts a process that ended after a short delay.
 RESTART_DELAY_S = 0.5
-# A call of the operator moves on to another replica after this time.
+# A call of the operator moves on to another replica after this time, after a pause that
+# grows.
 CALL_TIMEOUT_S = 1.0
+FIRST_PAUSE_S, PAUSE_GROWTH, LONGEST_PAUSE_S = 0.05, 1.5, 1.0
+# A call ends at once on these statuses, and on any other 4xx at the third attempt.
+FINAL_STATUSES = (400, 409, 412, 413, 422)
+UNCLEAR_STATUSES = (408, 429)
+LAST_REFUSAL = 3
 # How long the platform lets the first config take; traffic starts 10 s after the start.
 START_LIMIT_S = 25.0
 # A machine whose disk is lost is down for this long.
@@ -126,20 +131,15 @@
 
 
 class Machine:
-    """One machine of a class, `core` with a disk or `edge`, and its process."""
+    """One machine of the core with a disk; at most one process runs on it."""
 
-    def __init__(self, platform: "Platform", number: int, machine_class: str = "core"):
+    def __init__(self, platform: "Platform", number: int):
         self.platform = platform
         self.number = number
-        self.machine_class = machine_class
-        self.role = {"core": "control", "edge": "entry"}[machine_class]
-        self.name = f"{machine_class}-{number}"
-        self.host = platform.host_of(number, machine_class)
+        self.name = f"core-{number}"
+        self.host = platform.host_of(number)
         self.data_folder = platform.folder / self.name / "data"
         self.control = f"{self.host}:{platform.http_port}"
-        # Addresses of an edge machine.
-        self.front = f"{self.host}:{platform.http_port}"
-        self.readiness = f"{self.host}:{platform.readiness_port}"
         self.process: subprocess.Popen | None = None
         # How often its process has ended by itself.
         self.own_ends = 0
@@ -149,7 +149,7 @@
     def start(self, *, bootstrap: bool = False) -> None:
         """Start its process with settings filled in now."""
         self.data_folder.mkdir(parents=True, exist_ok=True)
-        role = self.platform.deploy["roles"][self.role]
+        role = self.platform.deploy["roles"]["control"]
         template = (ROOT / role["template"]).read_text()
         settings = self.platform.folder / f"{self.name}.toml"
         settings.write_text(render(template, self._fields(bootstrap)))
@@ -202,17 +202,14 @@
 
     def _fields(self, bootstrap: bool) -> dict:
         platform = self.platform
-        listen = {"control": self.control}
-        if self.machine_class == "edge":
-            listen = {"front": self.front, "readiness": self.readiness}
         return {
             "nodeName": self.name,
-            "role": self.role,
-            "machineClass": self.machine_class,
+            "role": "control",
+            "machineClass": "core",
             "ip": self.host,
-            "data_hall": f"hall-{self.number % 3}",
+            "data_hall": f"hall-{self.number % 4}",
             "portRange": platform.port_range,
-            "listen": listen,
+            "listen": {"control": self.control},
             "seeds": platform.seeds,
             "bootstrap": bootstrap,
             "dataDir": str(self.data_folder),
@@ -224,9 +221,7 @@
 class Platform:
     """Machines of the core on loopback addresses; `stop` ends what it started."""
 
-    def __init__(
-        self, record: Record, deps: Path, machines: int, subnet: int, edges: int = 0
-    ):
+    def __init__(self, record: Record, deps: Path, machines: int, subnet: int):
         self.record = record
         self.deps = deps
         self.subnet = subnet
@@ -234,27 +229,23 @@
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = Path(self._folder.name)
         hosts = [self.host_of(number) for number in range(machines)]
-        hosts += [self.host_of(number, "edge") for number in range(edges)]
-        ports = free_ports(hosts, 4)
-        self.port_range = ports[:2]
-        self.http_port, self.readiness_port = ports[2:]
+        ports = free_ports(hosts, 3)
+        self.port_range, self.http_port = ports[:2], ports[2]
         self.machines = [Machine(self, number) for number in range(machines)]
-        self.edges = [Machine(self, number, "edge") for number in range(edges)]
         self.seeds = [machine.control for machine in self.machines[:3]]
         self._is_stopping = threading.Event()
         self._keeper = threading.Thread(target=self._keep, daemon=True)
         self._keeper.start()
 
-    def host_of(self, number: int, machine_class: str = "core") -> str:
+    def host_of(self, number: int) -> str:
         """Return the address of a machine."""
-        first = 1 if machine_class == "core" else 101
-        return f"127.0.{self.subnet}.{first + number}"
+        return f"127.0.{self.subnet}.{number + 1}"
 
     def stop(self) -> None:
         """Kill all processes that are still running."""
         self._is_stopping.set()
         self._keeper.join()
-        for machine in self.machines + self.edges:
+        for machine in self.machines:
             if machine.process is not None and machine.process.poll() is None:
                 machine.kill()
         self._folder.cleanup()
@@ -263,7 +254,7 @@
         """Restart processes that ended by themselves."""
         due_at_s: dict[Machine, float] = {}
         while not self._is_stopping.wait(0.05):
-            for machine in self.machines + self.edges:
+            for machine in self.machines:
                 if not machine.is_kept or machine.process.poll() is None:
                     due_at_s.pop(machine, None)
                 elif machine not in due_at_s:
@@ -311,14 +302,22 @@
     def _send(self, method: str, body: bytes, within_s: float):
         give_up_at_s = time.monotonic() + within_s
         seen: dict[str, int] = {}
-        while time.monotonic() < give_up_at_s:
-            for control in self.controls:
-                answer = _call(method, control, body)
-                what = "no answer" if answer is None else f"status {answer[0]}"
-                seen[what] = seen.get(what, 0) + 1
-                if answer is not None and answer[0] < 500:
+        pause_s, refusals = FIRST_PAUSE_S, 0
+        for control in itertools.cycle(self.controls):
+            answer = _call(method, control, body)
+            status = 0 if answer is None else answer[0]
+            if 200 <= status < 300 or status in FINAL_STATUSES:
+                return answer
+            if 400 <= status < 500 and status not in UNCLEAR_STATUSES:
+                refusals += 1
+                if refusals == LAST_REFUSAL:
                     return answer
-            time.sleep(0.2)
+            what = f"status {status}" if status else "no answer"
+            seen[what] = seen.get(what, 0) + 1
+            if time.monotonic() + pause_s >= give_up_at_s:
+                break
+            time.sleep(pause_s)
+            pause_s = min(pause_s * PAUSE_GROWTH, LONGEST_PAUSE_S)
         self.record.write(f"{method} unclear for {within_s:g} s: {seen}")
         return None
 
@@ -380,7 +379,9 @@
 Play = Callable[[Platform, Record, bool], int]
 
 
-def run_case(folder: Path, play: Play, machines: int, subnet: int) -> int:
+def run_case(
+    record_path: Path, play: Play, *, is_troubled: bool, machines: int, subnet: int
+) -> int:
     """Run a case, end its processes and return its exit code."""
     deps = next(filter(Path.is_dir, DEPS_FOLDERS), None)
     if deps is None:
@@ -388,10 +389,10 @@
         return NOT_RUN
     # Processes are also ended when the case itself is told to stop.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     platform = Platform(record, deps, machines, subnet)
     try:
-        return play(platform, record, os.environ.get("TROUBLE") != "0")
+        return play(platform, record, is_troubled)
     finally:
         platform.stop()
 
