--- a/src/cinderway/replication/_node.py
+++ b/src/cinderway/replication/_node.py
@@ -135,6 +135,7 @@
         self._next_read_id = 1
         self._compaction_paused_until_ms = 0
         self._last_role = Role.FOLLOWER
+        self._last_membership = self.core.membership
 
     @property
     def route(self) -> Route:
@@ -244,6 +245,7 @@
         while True:
             self.core.tick(monotonic_ms())
             self._record_role_change()
+            self._record_membership_change()
             self._wake.set()
             await anyio.sleep(self.settings.tick_s)
 
@@ -411,6 +413,22 @@
         )
         self._last_role = self.core.role
 
+    def _record_membership_change(self) -> None:
+        membership = self.core.membership
+        if membership == self._last_membership:
+            return
+        logger.info(
+            "membership at log index %d as replica %x knows it: %s",
+            self.core.log.membership_index,
+            self.core.replica_id,
+            ", ".join(
+                f"{replica_id:x} at {member.address}"
+                + ("" if member.is_voter else " (learner)")
+                for replica_id, member in membership.members.items()
+            ),
+        )
+        self._last_membership = membership
+
     def _deadline_error(self, detail: str) -> CinderwayError:
         return CinderwayError(
             ErrorCode.DEADLINE_PASSED,
