replication: a voter removed while it was silent joins again by itself

Callers saw: while one control replica is replaced, another one stands still for 7 s.

Cause: with more voters than wanted, a voter silent for 5 s is removed, since it may be the replaced one. It is not sent its removal, goes on with a membership that names it and never asks to join. The group then has five voters of which one is gone for good.

Ruled out: wrong progress at the leader, empty disks not admitted, a leader that steps down (all need a member).

Change: a vote request of a replica that is no member counts as its request to join; a replica whose log holds its removal asks its known members and seeds. It keeps its id and its durable log, term and vote, so that nothing it acknowledged or voted for is forgotten. Only in groups that remove silent voters by themselves; what an operator removes stays out. A vote request carries the cluster's id, so that a replica of another group isn't taken in.

--- a/src/cinderway/replication/_core.py
+++ b/src/cinderway/replication/_core.py
@@ -102,6 +102,7 @@
         match message:
             case VoteRequest():
                 self._elections.receive_vote_request(message)
+                self._member_changes.receive_vote_request(message, self._target_voters)
             case VoteReply():
                 self._elections.receive_vote_reply(message)
             case AppendRequest():
@@ -113,6 +114,18 @@
             case TakeOver():
                 self._elections.receive_take_over(message)
 
+    @property
+    def needs_to_join(self) -> bool:
+        """Whether this replica has to ask the group to let it join.
+
+        A former member asks again only in a group that removes silent voters by itself;
+        elsewhere only operators remove members.
+        """
+        members = self.membership.members
+        return not members or (
+            self._target_voters > 0 and self.replica_id not in members
+        )
+
     def is_leader_at(self, now_ms: int) -> bool:
         """Whether this replica leads and was not suspended past the quorum timeout.
 
--- a/src/cinderway/replication/_elections.py
+++ b/src/cinderway/replication/_elections.py
@@ -108,6 +108,7 @@
                 is_pre_vote=is_pre_vote,
                 is_transfer=is_transfer,
                 sender_address=state.address,
+                cluster_id=state.membership.cluster_id,
             )
             state.send(request)
 
--- a/src/cinderway/replication/_member_changes.py
+++ b/src/cinderway/replication/_member_changes.py
@@ -1,9 +1,14 @@
 """Single-server membership changes (Ongaro, chapter 4)."""
 
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway._ids import Address, ReplicaId
+from cinderway._ids import NO_REPLICA, Address, ReplicaId
 from cinderway.replication._leader_log import LeaderLog
-from cinderway.replication._messages import EntryKind, JoinRequest, Membership
+from cinderway.replication._messages import (
+    EntryKind,
+    JoinRequest,
+    Membership,
+    VoteRequest,
+)
 from cinderway.replication._progress import next_membership
 from cinderway.replication._state import ReplicaState
 
@@ -50,14 +55,33 @@
         if request.cluster_id not in (0, state.membership.cluster_id):
             return
         if request.sender in state.membership.members:
-            # A member that asks again has received nothing yet, and hence cannot know
-            # where to send its replies: only a snapshot tells it. Going back to index 1
-            # makes the leader send one.
-            state.progress[request.sender].next_index = 1
+            if request.cluster_id == 0:
+                # This member has received nothing yet, and hence cannot know where to
+                # send its replies: only a snapshot tells it. Going back to index 1
+                # makes the leader send one.
+                state.progress[request.sender].next_index = 1
             return
         self._joining[request.sender] = request.address
         self.advance(target_voters)
 
+    def receive_vote_request(self, request: VoteRequest, target_voters: int) -> None:
+        """Treat a former member's vote request as its request to join again.
+
+        A voter that was removed while it was silent does not know about its removal:
+        it knows a membership that still names it, and tries to win an election.
+        """
+        membership = self._state.membership
+        if not (target_voters and membership.members):
+            return
+        if request.sender not in membership.members:
+            join_request = JoinRequest(
+                sender=request.sender,
+                target=NO_REPLICA,
+                address=request.sender_address,
+                cluster_id=request.cluster_id or membership.cluster_id,
+            )
+            self.receive_join_request(join_request, target_voters)
+
     def _forward_to_leader(self, request: JoinRequest) -> None:
         state = self._state
         # A joining replica is configured with some members' addresses, and the leader
--- a/src/cinderway/replication/_messages.py
+++ b/src/cinderway/replication/_messages.py
@@ -102,6 +102,8 @@
     is_pre_vote: bool
     is_transfer: bool
     sender_address: Address
+    # 0 in requests of builds that did not send it.
+    cluster_id: int = 0
 
 
 class VoteReply(Message, frozen=True):
@@ -166,7 +168,10 @@
 
 
 class JoinRequest(Message, frozen=True):
-    """A replica with a new data folder asks to join the group as a learner."""
+    """A replica that is not a member asks to join the group as a learner.
+
+    `cluster_id` is 0 if its data folder is new; otherwise it was a member before.
+    """
 
     sender: ReplicaId
     target: ReplicaId
--- a/src/cinderway/replication/_node.py
+++ b/src/cinderway/replication/_node.py
@@ -2,7 +2,7 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -19,6 +19,7 @@
     Entry,
     EntryKind,
     JoinRequest,
+    Membership,
     Snapshot,
 )
 from cinderway.replication._storage import DataFolder
@@ -107,7 +108,8 @@
         self.folder = folder
         self.state_machine = state_machine
         self.settings = settings
-        # Join requests go to these addresses until this replica is a member.
+        # Join requests go to these addresses, and to the members that are known, while
+        # this replica is not a member.
         self.peers = settings.peers
         self.counters = NodeCounters()
         self.applied_index = 0
@@ -250,12 +252,17 @@
             await anyio.sleep(self.settings.tick_s)
 
     async def _join(self, links: Links) -> None:
-        while not self.core.membership.members:
-            for address in self.peers:
-                if address != self.settings.address:
+        while True:
+            if self.core.needs_to_join:
+                for address in self._find_join_contacts():
                     links.send(address, self._join_request())
             await anyio.sleep(JOIN_INTERVAL_S)
 
+    def _find_join_contacts(self) -> set[Address]:
+        members = self.core.membership.members.values()
+        known = {*self.peers, *(member.address for member in members)}
+        return known - {self.settings.address}
+
     def _join_request(self) -> JoinRequest:
         return JoinRequest(
             sender=self.core.replica_id,
@@ -414,20 +421,18 @@
         self._last_role = self.core.role
 
     def _record_membership_change(self) -> None:
-        membership = self.core.membership
-        if membership == self._last_membership:
+        old, new = self._last_membership, self.core.membership
+        if new == old:
             return
         logger.info(
-            "membership at log index %d as replica %x knows it: %s",
+            "membership at log index %d as replica %x knows it: %s; %d voters of %d",
             self.core.log.membership_index,
             self.core.replica_id,
-            ", ".join(
-                f"{replica_id:x} at {member.address}"
-                + ("" if member.is_voter else " (learner)")
-                for replica_id, member in membership.members.items()
-            ),
+            ", ".join(_describe_changes(old, new)) or "unchanged",
+            len(new.voters),
+            len(new.members),
         )
-        self._last_membership = membership
+        self._last_membership = new
 
     def _deadline_error(self, detail: str) -> CinderwayError:
         return CinderwayError(
@@ -436,3 +441,12 @@
             step=Step.PROPOSE,
             peer=self.leader_address or "",
         )
+
+
+def _describe_changes(old: Membership, new: Membership) -> Iterator[str]:
+    for replica_id in old.members.keys() - new.members.keys():
+        yield f"removed {replica_id:x} at {old.members[replica_id].address}"
+    for replica_id, member in new.members.items():
+        if old.members.get(replica_id) != member:
+            kind = "voter" if member.is_voter else "learner"
+            yield f"{kind} {replica_id:x} at {member.address}"
--- a/src/cinderway/wire/schemas/replication.capnp
+++ b/src/cinderway/wire/schemas/replication.capnp
@@ -24,6 +24,7 @@
   isPreVote @5 :Bool;
   isTransfer @6 :Bool;
   senderAddress @7 :Text;
+  clusterId @8 :UInt64;
 }
 
 struct VoteReply {
--- a/tests/replication/test_core.py
+++ b/tests/replication/test_core.py
@@ -708,6 +708,39 @@
         self.assertNotIn(self.gone.replica_id, self.voters())
         self.assertIn(99, self.voters())
 
+    def cut_off(self, node):
+        for address in self.cluster.nodes:
+            self.cluster.cuts |= {(address, node.address), (node.address, address)}
+
+    def test_a_voter_removed_while_it_was_silent_becomes_a_voter_again(self):
+        """Otherwise a dead voter keeps its vote, and a live replica has none."""
+        self.add_joining_node(self.leader())
+        self.run_for(1000)
+        self.cut_off(self.gone)
+        self.run_for(TIMING.voter_replacement_timeout_ms + 1000)
+        self.assertNotIn(self.gone.replica_id, self.voters())
+        self.cluster.cuts.clear()
+        self.run_for(3000)
+        self.assertIn(self.gone.replica_id, self.voters())
+
+    def test_a_replica_that_knows_of_its_removal_asks_to_join_again(self):
+        members = {2: Member("a2", is_voter=True)}
+        snapshot = Snapshot(5, 2, Membership(7, members).encode(), b"")
+        removed = Replica(
+            1, "a1", Log(snapshot), HardState(2), TIMING, random.Random(1), 0, 3
+        )
+        self.assertTrue(removed.needs_to_join)
+        operated = Replica(
+            1, "a1", Log(snapshot), HardState(2), TIMING, random.Random(1), 0
+        )
+        self.assertFalse(operated.needs_to_join)
+
+    def test_a_replica_that_an_operator_removed_stays_out(self):
+        self.set_target_voters(0)
+        self.leader().core.remove_member(self.gone.replica_id)
+        self.run_for(4000)
+        self.assertNotIn(self.gone.replica_id, self.voters())
+
     def test_no_voter_is_removed_if_no_number_of_voters_is_configured(self):
         self.set_target_voters(0)
         self.gone.is_up = False
