replication: a first start that was interrupted is begun anew

The first seed killed there leaves a fleet without any config.

Cause: a first start makes the log durable, then the identity. A log without an identity was refused as damage in every case. For the first seed, a restart is no first start, so the group's creation was not taken up again.

Evidence: the folder after the kill holds `lock` and a complete `wal-`; "the identity file is missing" at each start. Ruled out: an unreadable file (each is renamed into place once it is synced).

Change: without an identity, a folder that holds no more than a first start writes is begun anew; nothing was sent from it, so nobody knows its id, vote or log.

--- a/src/cinderway/control/_catalog_daemon.py
+++ b/src/cinderway/control/_catalog_daemon.py
@@ -117,12 +117,12 @@
     """Bootstrap the group on the first seed, once, at the fleet's first start.
 
     All replicas have the same seeds then, so they agree on which of them bootstraps it.
-    For a replica that starts with an empty disk later, `is_first_start` is false.
+    For a replica that starts with an empty disk later, `is_first_start` is false. A
+    bootstrap that was interrupted is completed at any later start.
     """
-    if not settings.is_first_start or settings.http_listen != settings.seeds[0]:
-        return
+    is_first = settings.is_first_start and settings.http_listen == settings.seeds[0]
     folder = DataFolder(settings.data_folder, GROUP, settings.listen)
-    if folder.is_new:
+    if (is_first and folder.is_new) or folder.is_bootstrap_interrupted:
         folder.bootstrap(b"")
         logger.info("bootstrapped the group")
     else:
--- a/src/cinderway/replication/_storage.py
+++ b/src/cinderway/replication/_storage.py
@@ -5,6 +5,10 @@
     wal-G             generation G of the log: the snapshot that it starts from, and the
                       hard state and entries since then
 
+A first start writes the identity last, and sends nothing before. What it has written
+when it is interrupted is hence overwritten by the next start; a folder without an
+identity that holds anything else is damaged.
+
 All calls block; the driver runs the writes in a worker thread.
 """
 
@@ -57,6 +61,16 @@
     entries: list[Entry]
 
 
+FIRST_GENERATION = 1
+# The records of the log that a first start writes: those of an empty replica, and those
+# of the first replica of a new group.
+EMPTY_WAL = [WalStart(EMPTY_SNAPSHOT.index), WalBatch(HardState(), [])]
+BOOTSTRAP_WAL = [
+    WalStart(BOOTSTRAP_INDEX),
+    WalBatch(HardState(term=BOOTSTRAP_TERM), []),
+]
+
+
 @dataclass
 class RecoveredState:
     """The log and hard state read from the folder when it was opened."""
@@ -74,7 +88,7 @@
         self._lock = _lock_folder(path)
         self.is_new = not (path / IDENTITY_FILE).exists()
         self.identity = self._load_identity(group, address)
-        self._generation = 0
+        self._generation = FIRST_GENERATION - 1
         self._wal: int | None = None
         self.wal_bytes = 0
 
@@ -82,6 +96,10 @@
 
     def recover(self) -> RecoveredState:
         """Read the stored state; truncate a torn tail, and raise an error on damage."""
+        if self.is_bootstrap_interrupted:
+            raise self._damaged_error(
+                "the creation of a new group was interrupted; create the group again"
+            )
         if self.is_new:
             self._start_wal(EMPTY_SNAPSHOT.index, HardState(), [])
             self._write_identity()
@@ -93,9 +111,20 @@
         self._remove_all_but(wal_path, recovered.log.snapshot.index)
         return recovered
 
+    @property
+    def is_bootstrap_interrupted(self) -> bool:
+        """Whether `bootstrap` has begun here and has not completed.
+
+        The group does not exist then, and nobody else will create it.
+        """
+        path = self._snapshot_path(BOOTSTRAP_INDEX)
+        return self.is_new and (path.exists() or _temporary_path(path).exists())
+
     def bootstrap(self, state: bytes) -> None:
         """Make this folder the first and only voter of a new group.
 
+        May be repeated after it was interrupted.
+
         `state` is the state machine's initial state, encoded as in a snapshot.
         """
         if not self.is_new:
@@ -159,8 +188,7 @@
 
     def _load_identity(self, group: str, address: Address) -> FolderIdentity:
         if self.is_new:
-            if self._newest_wal() is not None:
-                raise self._damaged_error("the identity file is missing")
+            self._check_never_used()
             return FolderIdentity(group, _new_replica_id(), address)
         identity = self._read_one_record(self.path / IDENTITY_FILE, FolderIdentity)
         if (identity.group, identity.address) != (group, address):
@@ -172,6 +200,21 @@
             )
         return identity
 
+    def _check_never_used(self) -> None:
+        """Raise an error unless the folder holds only what a first start writes."""
+        wal_paths, snapshot_paths = self._wal_paths(), self._snapshot_paths()
+        if set(snapshot_paths) <= {self._snapshot_path(BOOTSTRAP_INDEX)}:
+            if not wal_paths:
+                return
+            if wal_paths == [self._wal_path(FIRST_GENERATION)]:
+                content = wal_paths[0].read_bytes()
+                scanned = scan_records(content, source=str(wal_paths[0]))
+                is_complete = scanned.valid_bytes == len(content)
+                records = self._decode_records(wal_paths[0], scanned.payloads)
+                if is_complete and records in (EMPTY_WAL, BOOTSTRAP_WAL):
+                    return
+        raise self._damaged_error("the identity file is missing")
+
     def _write_identity(self) -> None:
         # The identity is written last: once it exists, a missing log means damage
         # rather than a new folder. A replica that lost its log but kept its id could
@@ -182,19 +225,25 @@
     def _start_wal(
         self, snapshot_index: int, hard_state: HardState, entries: list[Entry]
     ) -> Path:
-        self._generation += 1
-        path = self.path / f"wal-{self._generation:016d}"
+        path = self._wal_path(self._generation + 1)
         start = frame_record(msgspec.msgpack.encode(WalStart(snapshot_index)))
         batch = frame_record(msgspec.msgpack.encode(WalBatch(hard_state, entries)))
         self._write_file(path, start + batch)
         self._wal = os.open(path, os.O_WRONLY | os.O_APPEND)
+        self._generation += 1
         self.wal_bytes = len(start) + len(batch)
         return path
 
     def _newest_wal(self) -> Path | None:
-        paths = sorted(self.path.glob("wal-*[0-9]"))
+        paths = self._wal_paths()
         return paths[-1] if paths else None
 
+    def _wal_paths(self) -> list[Path]:
+        return sorted(self.path.glob("wal-*[0-9]"))
+
+    def _wal_path(self, generation: int) -> Path:
+        return self.path / f"wal-{generation:016d}"
+
     def _read_wal(self, path: Path) -> RecoveredState:
         content = path.read_bytes()
         scanned = scan_records(content, source=str(path))
@@ -239,30 +288,19 @@
             )
         return msgspec.msgpack.decode(payloads[0], type=kind)
 
+    def _snapshot_paths(self) -> list[Path]:
+        return sorted(self.path.glob("snapshot-*[0-9]"))
+
     def _snapshot_path(self, index: int) -> Path:
         return self.path / f"snapshot-{index:016d}"
 
     def _write_file(self, path: Path, content: bytes) -> None:
-        temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
-        descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
-        try:
-            _write_all(descriptor, content)
-            os.fsync(descriptor)
-        except OSError:
-            # On a full disk the log needs this space more.
-            temporary.unlink()
-            raise
-        finally:
-            os.close(descriptor)
-        os.rename(temporary, path)
+        _write_synced(_temporary_path(path), content)
+        os.rename(_temporary_path(path), path)
         self._sync_folder()
 
     def _sync_folder(self) -> None:
-        descriptor = os.open(self.path, os.O_RDONLY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
+        _sync_folder(self.path)
 
     def _remove_all_but(self, wal_path: Path, snapshot_index: int) -> None:
         kept = {wal_path, self._snapshot_path(snapshot_index)}
@@ -277,6 +315,33 @@
         )
 
 
+def _sync_folder(path: Path) -> None:
+    """Make the names in a folder durable."""
+    descriptor = os.open(path, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def _temporary_path(path: Path) -> Path:
+    return path.with_name(path.name + TEMPORARY_SUFFIX)
+
+
+def _write_synced(path: Path, content: bytes) -> None:
+    """Write a whole file and sync it; after an OSError the file is gone."""
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    try:
+        _write_all(descriptor, content)
+        os.fsync(descriptor)
+    except OSError:
+        # On a full disk the log needs this space more.
+        path.unlink()
+        raise
+    finally:
+        os.close(descriptor)
+
+
 def _new_replica_id() -> ReplicaId:
     # 63 bits fit a signed 64-bit integer in every library. The lowest bit is set, so
     # that the id is never 0.
