replication: batches go to the log that a restart reads, also after a failed sync

Change: from the rename on, the new log is written to, and no batch before its name is durable; until then writes fail and are retried, as for a disk that refuses them.

Before: test_batches_after_a_compaction_whose_folder_sync_failed_are_kept and test_no_batch_is_acknowledged_before_the_new_log_has_a_durable_name fail.

--- a/src/cinderway/replication/_storage.py
+++ b/src/cinderway/replication/_storage.py
@@ -91,6 +91,7 @@
         self._generation = FIRST_GENERATION - 1
         self._wal: int | None = None
         self.wal_bytes = 0
+        self._is_rename_synced = True
 
     # Opening.
 
@@ -143,9 +144,7 @@
 
     def close(self) -> None:
         """Close the log file and release the lock on the folder."""
-        if self._wal is not None:
-            os.close(self._wal)
-            self._wal = None
+        self._close_wal()
         os.close(self._lock)
 
     # Writing.
@@ -156,6 +155,7 @@
         After an OSError nothing of the batch is in the log, and it may be retried.
         """
         record = frame_record(msgspec.msgpack.encode(WalBatch(hard_state, entries)))
+        self._prepare_wal()
         try:
             _write_all(self._wal, record)
             os.fdatasync(self._wal)
@@ -174,14 +174,12 @@
 
         The snapshot is durable before the log file that refers to it appears, and the
         old files are removed only after that, so a crash at any point leaves one
-        complete pair.
+        complete pair. After an OSError the state is stored in either form, and later
+        batches go to the log that a restart reads.
         """
         content = frame_record(msgspec.msgpack.encode(snapshot))
         self._write_file(self._snapshot_path(snapshot.index), content)
-        old_wal = self._wal
         wal_path = self._start_wal(snapshot.index, hard_state, entries)
-        if old_wal is not None:
-            os.close(old_wal)
         self._remove_all_but(wal_path, snapshot.index)
 
     # Helpers.
@@ -228,12 +226,30 @@
         path = self._wal_path(self._generation + 1)
         start = frame_record(msgspec.msgpack.encode(WalStart(snapshot_index)))
         batch = frame_record(msgspec.msgpack.encode(WalBatch(hard_state, entries)))
-        self._write_file(path, start + batch)
-        self._wal = os.open(path, os.O_WRONLY | os.O_APPEND)
+        _write_synced(_temporary_path(path), start + batch)
+        os.rename(_temporary_path(path), path)
+        # From here on a restart may read the new log, so every later batch goes there.
+        self._close_wal()
         self._generation += 1
         self.wal_bytes = len(start) + len(batch)
+        self._is_rename_synced = False
+        self._prepare_wal()
         return path
 
+    def _prepare_wal(self) -> None:
+        """Open the log and make its name durable."""
+        if self._wal is None:
+            self._wal = os.open(
+                self._wal_path(self._generation), os.O_WRONLY | os.O_APPEND
+            )
+        if not self._is_rename_synced:
+            self._sync_folder()
+
+    def _close_wal(self) -> None:
+        if self._wal is not None:
+            os.close(self._wal)
+            self._wal = None
+
     def _newest_wal(self) -> Path | None:
         paths = self._wal_paths()
         return paths[-1] if paths else None
@@ -301,6 +317,7 @@
 
     def _sync_folder(self) -> None:
         _sync_folder(self.path)
+        self._is_rename_synced = True
 
     def _remove_all_but(self, wal_path: Path, snapshot_index: int) -> None:
         kept = {wal_path, self._snapshot_path(snapshot_index)}
--- a/tests/replication/test_interrupted_writes.py
+++ b/tests/replication/test_interrupted_writes.py
@@ -1,6 +1,7 @@
 """A data folder whose process is killed, or loses power, at any single write."""
 
 import contextlib
+import errno
 import os
 import random
 import tempfile
@@ -389,3 +390,54 @@
             self.open(path).replace(snapshot(9), HardState(3, 9), [])
 
         self.check_interruptions(install, self.starts_with(3, 9), self.prepare)
+
+
+class FailedSyncTests(unittest.TestCase):
+    """A disk that refuses single operations, while the process goes on."""
+
+    def setUp(self):
+        temporary = tempfile.TemporaryDirectory()
+        self.addCleanup(temporary.cleanup)
+        self.path = Path(temporary.name)
+        self.folder = DataFolder(self.path, GROUP, ADDRESS)
+        self.folder.recover()
+        self.folder.append(HardState(3, 9), [entry(1)])
+
+    def recover_last_index(self):
+        self.folder.close()
+        folder = DataFolder(self.path, GROUP, ADDRESS)
+        self.addCleanup(folder.close)
+        return folder.recover().log.last_index
+
+    def test_batches_after_a_compaction_whose_folder_sync_failed_are_kept(self):
+        """They went to the old log, while a restart read the new one."""
+        sync_folder = self.folder._sync_folder
+        outcomes = iter([True, False])
+
+        def sync_once():
+            if not next(outcomes, True):
+                raise OSError(errno.EIO, "Input/output error")
+            sync_folder()
+
+        with mock.patch.object(self.folder, "_sync_folder", sync_once):
+            with self.assertRaises(OSError):
+                self.folder.replace(snapshot(1), HardState(3, 9), [])
+        self.folder.append(None, [entry(2)])
+        self.assertEqual(self.recover_last_index(), 2)
+
+    def test_no_batch_is_acknowledged_before_the_new_log_has_a_durable_name(self):
+        sync_folder = self.folder._sync_folder
+        outcomes = iter([True, False, False])
+
+        def sync_once():
+            if not next(outcomes, True):
+                raise OSError(errno.EIO, "Input/output error")
+            sync_folder()
+
+        with mock.patch.object(self.folder, "_sync_folder", sync_once):
+            with self.assertRaises(OSError):
+                self.folder.replace(snapshot(1), HardState(3, 9), [])
+            with self.assertRaises(OSError):
+                self.folder.append(None, [entry(2)])
+            self.folder.append(None, [entry(2)])
+        self.assertEqual(self.recover_last_index(), 2)
