replication: a partial record that can't be truncated at once is truncated later

If the disk refused that, too, the retry wrote behind it, and the next start called the folder damaged.

Change: the next append truncates first, and fails as long as it can't.

Before: test_a_partial_record_that_cannot_be_truncated_at_once_is_not_left_behind raises DATA_DAMAGED at the start. After: passes.

--- a/src/cinderway/replication/_storage.py
+++ b/src/cinderway/replication/_storage.py
@@ -91,6 +91,7 @@
         self._generation = FIRST_GENERATION - 1
         self._wal: int | None = None
         self.wal_bytes = 0
+        self._has_failed_write = False
         self._is_rename_synced = True
 
     # Opening.
@@ -152,19 +153,16 @@
     def append(self, hard_state: HardState | None, entries: list[Entry]) -> None:
         """Append one batch to the log and sync it.
 
-        After an OSError nothing of the batch is in the log, and it may be retried.
+        After an OSError the batch is not durable, and the call may be repeated.
         """
         record = frame_record(msgspec.msgpack.encode(WalBatch(hard_state, entries)))
         self._prepare_wal()
-        try:
-            _write_all(self._wal, record)
-            os.fdatasync(self._wal)
-        except OSError:
-            # Anything after a partially written record could not be read back. A retry
-            # writes the bytes again rather than only syncing: after a failed sync they
-            # may be lost even though a second sync would succeed.
-            os.ftruncate(self._wal, self.wal_bytes)
-            raise
+        # A retry writes the bytes again rather than only syncing: after a failed sync
+        # they may be lost even though a second sync would succeed.
+        self._has_failed_write = True
+        _write_all(self._wal, record)
+        os.fdatasync(self._wal)
+        self._has_failed_write = False
         self.wal_bytes += len(record)
 
     def replace(
@@ -232,18 +230,24 @@
         self._close_wal()
         self._generation += 1
         self.wal_bytes = len(start) + len(batch)
+        self._has_failed_write = False
         self._is_rename_synced = False
         self._prepare_wal()
         return path
 
     def _prepare_wal(self) -> None:
-        """Open the log and make its name durable."""
+        """Open the log, make its name durable, and remove a partially written record.
+
+        Nothing after a partially written record could be read back.
+        """
         if self._wal is None:
             self._wal = os.open(
                 self._wal_path(self._generation), os.O_WRONLY | os.O_APPEND
             )
         if not self._is_rename_synced:
             self._sync_folder()
+        if self._has_failed_write:
+            os.ftruncate(self._wal, self.wal_bytes)
 
     def _close_wal(self) -> None:
         if self._wal is not None:
--- a/tests/replication/test_interrupted_writes.py
+++ b/tests/replication/test_interrupted_writes.py
@@ -403,6 +403,10 @@
         self.folder.recover()
         self.folder.append(HardState(3, 9), [entry(1)])
 
+    def refuse(self, name):
+        error = OSError(errno.EIO, "Input/output error")
+        return mock.patch(f"os.{name}", side_effect=error)
+
     def recover_last_index(self):
         self.folder.close()
         folder = DataFolder(self.path, GROUP, ADDRESS)
@@ -441,3 +445,18 @@
                 self.folder.append(None, [entry(2)])
             self.folder.append(None, [entry(2)])
         self.assertEqual(self.recover_last_index(), 2)
+
+    def test_a_partial_record_that_cannot_be_truncated_at_once_is_not_left_behind(self):
+        """The retried batch was written behind it, and the folder called damaged."""
+        write = os.write
+
+        def write_half(descriptor, data):
+            if len(data) <= 30:
+                raise OSError(errno.EIO, "Input/output error")
+            return write(descriptor, data[:30])
+
+        with mock.patch("os.write", write_half), self.refuse("ftruncate"):
+            with self.assertRaises(OSError):
+                self.folder.append(None, [entry(2)])
+        self.folder.append(None, [entry(2)])
+        self.assertEqual(self.recover_last_index(), 2)
