replication: a data folder that was just created survives a power cut

A new data folder's own name was never synced, so that a power cut could take the whole folder with its synced files, like a lost disk that no deployment counts. The folder and missing parents are now made durable as they are made.

No test: it takes a power cut on a real file system. The platform creates the folder itself, so that nothing changes there.

--- a/src/cinderway/replication/_storage.py
+++ b/src/cinderway/replication/_storage.py
@@ -83,7 +83,7 @@
     """Durable storage of one replica; data is durable only once a call returns."""
 
     def __init__(self, path: Path, group: str, address: Address):
-        path.mkdir(parents=True, exist_ok=True)
+        _make_folder(path)
         self.path = path
         self._lock = _lock_folder(path)
         self.is_new = not (path / IDENTITY_FILE).exists()
@@ -336,6 +336,15 @@
         )
 
 
+def _make_folder(path: Path) -> None:
+    """Create a folder and its missing parents, durably."""
+    if path.exists():
+        return
+    _make_folder(path.parent)
+    path.mkdir(exist_ok=True)
+    _sync_folder(path.parent)
+
+
 def _sync_folder(path: Path) -> None:
     """Make the names in a folder durable."""
     descriptor = os.open(path, os.O_RDONLY)
