replication: a replica that knows itself as a learner joins again, too

Learners request no votes, and only a replica that its log does not name asked to join.

Change: in groups that remove silent voters, whoever is no voter by its own log asks to join once it has heard no leader for the longest election timeout.

Before: test_a_replica_removed_before_it_learned_that_it_votes_asks_to_join_again fails.

--- a/src/cinderway/replication/_core.py
+++ b/src/cinderway/replication/_core.py
@@ -119,12 +119,14 @@
         """Whether this replica has to ask the group to let it join.
 
         A former member asks again only in a group that removes silent voters by itself;
-        elsewhere only operators remove members.
+        elsewhere only operators remove members. It may know itself as a learner still,
+        which requests no votes.
         """
-        members = self.membership.members
-        return not members or (
-            self._target_voters > 0 and self.replica_id not in members
-        )
+        if not self.membership.members:
+            return True
+        if self._target_voters == 0 or self.replica_id in self.membership.voters:
+            return False
+        return not self.has_heard_leader_within(self.timing.election_max_ms)
 
     def is_leader_at(self, now_ms: int) -> bool:
         """Whether this replica leads and was not suspended past the quorum timeout.
--- a/src/cinderway/replication/_elections.py
+++ b/src/cinderway/replication/_elections.py
@@ -186,8 +186,6 @@
 
     def _has_leader_contact(self) -> bool:
         state = self._state
-        if state.is_leader:
-            return True
-        if state.leader_heard_at_ms is None:
-            return False
-        return state.now_ms - state.leader_heard_at_ms < state.timing.election_min_ms
+        return state.is_leader or state.has_heard_leader_within(
+            state.timing.election_min_ms
+        )
--- a/src/cinderway/replication/_state.py
+++ b/src/cinderway/replication/_state.py
@@ -117,6 +117,12 @@
         """Whether the newest committed entry was created in the current term."""
         return self.log.term_at(self.commit_index) == self.term
 
+    def has_heard_leader_within(self, duration_ms: int) -> bool:
+        """Whether a leader's message has arrived within the last `duration_ms`."""
+        if self.leader_heard_at_ms is None:
+            return False
+        return self.now_ms - self.leader_heard_at_ms < duration_ms
+
     def silent_members(self) -> list[ReplicaId]:
         """Members that the leader has not heard from for `election_max_ms`."""
         if not self.is_leader:
--- a/tests/replication/test_core.py
+++ b/tests/replication/test_core.py
@@ -735,6 +735,17 @@
         )
         self.assertFalse(operated.needs_to_join)
 
+    def test_a_replica_removed_before_it_learned_that_it_votes_asks_to_join_again(
+        self,
+    ):
+        """It knows itself as a learner, and learners request no votes."""
+        members = {1: Member("a1", is_voter=False), 2: Member("a2", is_voter=True)}
+        snapshot = Snapshot(5, 2, Membership(7, members).encode(), b"")
+        removed = Replica(
+            1, "a1", Log(snapshot), HardState(2), TIMING, random.Random(1), 0, 3
+        )
+        self.assertTrue(removed.needs_to_join)
+
     def test_a_replica_that_an_operator_removed_stays_out(self):
         self.set_target_voters(0)
         self.leader().core.remove_member(self.gone.replica_id)
