replication: a lost disk that is proven is not waited for

Callers saw: a control replica is replaced, its successor first; two disks are lost at the moment it goes, as many as are tolerated, or at any later moment before it is removed.

Cause: the machine that is gone still votes. Three of six voters are left, which hold every acknowledged entry (it was on four of six), and lack a vote. A shorter time-out only moves the moment.

Evidence: the memberships that each replica logs: six voters from the successor's promotion to the end, three pre-candidates in one term for good.

Change: a new replica without any state that runs at a voter's address answers the vote requests that are meant for the voter, which proves that the voter's disk is lost. A candidate that got no full quorum in a whole round of pre-votes needs one vote less for each proven loss, as many as keep every two quorums overlapping; its leader commits alike. Where a majority could vanish at once (two replaced members and two lost disks of seven), entries are on more. A removal needs quorums of both memberships until it is committed, and a membership is appended once more so that logs show that it is. All this only with spare voters, and once every voter supports it.

Why it is safe: docs/design/quorums.md. Each proof precedes the first vote of the election that uses it, carries a nonce of the round, and comes from a replica without state only.

--- a/src/cinderway/replication/_core.py
+++ b/src/cinderway/replication/_core.py
@@ -4,7 +4,8 @@
 
 Source: Ongaro, "Consensus: Bridging Theory and Practice" (2014): chapter 3 (the
 algorithm), 4 (single-server membership changes, leader stickiness), 5 (snapshots),
-6.4 (linearizable reads) and 9.6 (pre-vote).
+6.4 (linearizable reads) and 9.6 (pre-vote). Quorums differ from it while members are
+replaced, see `_quorum`.
 
 Each input changes the replica's state in memory only. The driver then takes the
 output, makes its records durable, sends its messages, and applies its committed
@@ -39,6 +40,7 @@
     VoteRequest,
 )
 from cinderway.replication._output import ConfirmedRead, Output
+from cinderway.replication._quorum import NONE_LOST
 from cinderway.replication._reads import LinearizableReads
 from cinderway.replication._state import ReplicaState, Role, Timing
 
@@ -95,10 +97,13 @@
         """
         self._advance_clock(now_ms)
         if isinstance(message, JoinRequest):
+            self._elections.receive_join_request(message)
             self._member_changes.receive_join_request(message, self._target_voters)
             return
         if message.target != self.replica_id:
+            self._answer_for_previous_identity(message)
             return
+        self.proven_lost -= {message.sender}
         match message:
             case VoteRequest():
                 self._elections.receive_vote_request(message)
@@ -114,6 +119,29 @@
             case TakeOver():
                 self._elections.receive_take_over(message)
 
+    def _answer_for_previous_identity(self, message: ReplicaMessage) -> None:
+        """Ask the sender of a message for this address's previous replica to join it.
+
+        A replica without any state runs here only if the previous one's disk is lost.
+        """
+        if self.membership.members:
+            return
+        match message:
+            case VoteRequest(sender_address=address, nonce=nonce):
+                self.send_to_address(address, self.build_join_request(nonce))
+            case AppendRequest(sender_address=address):
+                self.send_to_address(address, self.build_join_request())
+
+    def build_join_request(self, answered_nonce: int = 0) -> JoinRequest:
+        """Return a request to let this replica join the group."""
+        return JoinRequest(
+            sender=self.replica_id,
+            target=NO_REPLICA,
+            address=self.address,
+            cluster_id=self.membership.cluster_id,
+            answered_nonce=answered_nonce,
+        )
+
     @property
     def needs_to_join(self) -> bool:
         """Whether this replica has to ask the group to let it join.
@@ -213,6 +241,7 @@
     def _become_follower(self, term: int) -> None:
         self.role = Role.FOLLOWER
         self.leader_id = NO_REPLICA
+        self.proven_lost = NONE_LOST
         self.progress = {}
         self._reads.drop()
         self._member_changes.clear_joining()
--- a/src/cinderway/replication/_elections.py
+++ b/src/cinderway/replication/_elections.py
@@ -3,6 +3,10 @@
 Elections use a pre-vote (Ongaro, section 9.6): a replica first asks whether it would
 win, so that a replica which was partitioned away does not disrupt a group that has a
 leader.
+
+Pre-vote requests also find out which voters have lost their disks: a replica without
+any state that runs at a voter's address answers in the voter's place. If a whole round
+does not reach a full quorum, the election that follows does not wait for these voters.
 """
 
 import random
@@ -11,16 +15,18 @@
 from cinderway._ids import NO_REPLICA, ReplicaId
 from cinderway.replication._messages import (
     HardState,
+    JoinRequest,
     TakeOver,
     VoteReply,
     VoteRequest,
 )
-from cinderway.replication._progress import is_quorum
+from cinderway.replication._quorum import NONE_LOST
 from cinderway.replication._state import ReplicaState, Role
 
 # Ten doublings take a timeout of a tenth of a second to over a minute, which is beyond
 # any election timeout.
 MAX_STARTUP_DOUBLINGS = 10
+NONCE_BITS = 63
 
 
 class Elections:
@@ -38,6 +44,10 @@
         self._become_follower = become_follower
         self._become_leader = become_leader
         self._votes: set[ReplicaId] = set()
+        # The voter that each nonce of the current pre-vote round was sent to, and the
+        # voters proven to be lost in this round.
+        self._asked: dict[int, ReplicaId] = {}
+        self._proven_lost: set[ReplicaId] = set()
         # Counts expired election timeouts; it only matters until a leader is heard.
         self._failed_startup_elections = 0
         self.reset_deadline()
@@ -51,7 +61,13 @@
             self._failed_startup_elections + 1, MAX_STARTUP_DOUBLINGS
         )
         self.reset_deadline()
-        if state.replica_id in state.membership.voters:
+        if state.replica_id not in state.membership.voters:
+            return
+        proven_lost = frozenset(self._proven_lost)
+        is_pre_candidate = state.role is Role.PRE_CANDIDATE
+        if is_pre_candidate and state.has_quorum(self._votes, proven_lost):
+            self._start_election(proven_lost)
+        else:
             self._start_pre_vote()
 
     def reset_deadline(self) -> None:
@@ -80,14 +96,22 @@
         state = self._state
         state.role = Role.PRE_CANDIDATE
         state.leader_id = NO_REPLICA
+        state.proven_lost = NONE_LOST
         self._votes = {state.replica_id}
+        self._asked = {}
+        self._proven_lost = set()
         self._request_votes(state.term + 1, is_pre_vote=True)
         self._count_votes()
 
-    def _start_election(self, *, is_transfer: bool) -> None:
+    def _start_election(
+        self, proven_lost: frozenset[ReplicaId], *, is_transfer: bool = False
+    ) -> None:
         state = self._state
         state.role = Role.CANDIDATE
         state.leader_id = NO_REPLICA
+        # Losses that are proven later must not count: their voters may have voted in
+        # this term before.
+        state.proven_lost = proven_lost
         state.set_hard_state(HardState(state.term + 1, state.replica_id))
         self.reset_deadline()
         self._votes = {state.replica_id}
@@ -98,7 +122,8 @@
         self, term: int, *, is_pre_vote: bool, is_transfer: bool = False
     ) -> None:
         state = self._state
-        for target in state.membership.voters - {state.replica_id}:
+        voters = set[ReplicaId]().union(*(m.voters for m in state.memberships_in_force))
+        for target in voters - {state.replica_id}:
             request = VoteRequest(
                 sender=state.replica_id,
                 target=target,
@@ -109,15 +134,27 @@
                 is_transfer=is_transfer,
                 sender_address=state.address,
                 cluster_id=state.membership.cluster_id,
+                nonce=self._new_nonce(target) if is_pre_vote else 0,
             )
             state.send(request)
 
+    def _new_nonce(self, target: ReplicaId) -> int:
+        nonce = self._rng.getrandbits(NONCE_BITS) | 1
+        self._asked[nonce] = target
+        return nonce
+
+    def receive_join_request(self, request: JoinRequest) -> None:
+        """Record the loss of a voter in whose place a new replica has answered."""
+        target = self._asked.get(request.answered_nonce)
+        if target is not None and self._state.role is Role.PRE_CANDIDATE:
+            self._proven_lost.add(target)
+
     def _count_votes(self) -> None:
         state = self._state
-        if not is_quorum(state.membership.voters, self._votes):
+        if not state.has_quorum(self._votes, state.proven_lost):
             return
         if state.role is Role.PRE_CANDIDATE:
-            self._start_election(is_transfer=False)
+            self._start_election(NONE_LOST)
         elif state.role is Role.CANDIDATE:
             self._become_leader()
 
@@ -182,7 +219,7 @@
         state = self._state
         is_voter = state.replica_id in state.membership.voters
         if message.term == state.term and is_voter:
-            self._start_election(is_transfer=True)
+            self._start_election(NONE_LOST, is_transfer=True)
 
     def _has_leader_contact(self) -> bool:
         state = self._state
--- a/src/cinderway/replication/_follower_log.py
+++ b/src/cinderway/replication/_follower_log.py
@@ -95,6 +95,7 @@
             is_match=is_match,
             match_index=match_index,
             round=request.round,
+            supports_proven_losses=True,
         )
         state.send_to_address(request.sender_address, reply)
 
@@ -114,5 +115,6 @@
             is_match=True,
             match_index=min(snapshot.index, state.commit_index),
             round=0,
+            supports_proven_losses=True,
         )
         state.send_to_address(request.sender_address, reply)
--- a/src/cinderway/replication/_leader_log.py
+++ b/src/cinderway/replication/_leader_log.py
@@ -10,7 +10,7 @@
     EntryKind,
     SnapshotRequest,
 )
-from cinderway.replication._progress import Progress, is_quorum, quorum_value
+from cinderway.replication._progress import Progress
 from cinderway.replication._reads import LinearizableReads
 from cinderway.replication._state import ReplicaState
 
@@ -52,9 +52,15 @@
         self.broadcast()
 
     def reconcile_progress(self) -> None:
-        """Track progress for exactly the members of the current membership."""
+        """Track progress for exactly the members of the memberships in force.
+
+        A removed member still counts, and is sent entries, until its removal is
+        committed: the quorum of the previous membership may need it.
+        """
         state = self._state
-        members = state.membership.members.keys() | {state.replica_id}
+        members = {state.replica_id}
+        for membership in state.memberships_in_force:
+            members |= membership.members.keys()
         for replica_id in members - state.progress.keys():
             state.progress[replica_id] = Progress(
                 next_index=state.log.last_index + 1,
@@ -69,8 +75,8 @@
         """Whether a quorum was heard from recently enough to remain leader."""
         state = self._state
         oldest_ms = state.now_ms - state.timing.quorum_contact_timeout_ms
-        silent = set(state.silent_since(oldest_ms))
-        return is_quorum(state.membership.voters, state.progress.keys() - silent)
+        in_contact = state.progress.keys() - set(state.silent_since(oldest_ms))
+        return state.has_quorum(in_contact, state.proven_lost)
 
     def broadcast(self) -> None:
         """Send every other member the entries that it lacks; serves as a heartbeat."""
@@ -78,7 +84,7 @@
         self.is_broadcast_due = False
         self._next_heartbeat_at_ms = state.now_ms + state.timing.heartbeat_ms
         self._reads.start_round()
-        for replica_id in state.membership.members:
+        for replica_id in state.progress:
             if replica_id != state.replica_id:
                 self._send_append(replica_id)
         self._reads.confirm()
@@ -144,6 +150,7 @@
         if not state.is_leader or reply.term != state.term or progress is None:
             return
         progress.last_heard_ms = state.now_ms
+        progress.supports_proven_losses = reply.supports_proven_losses
         progress.round = max(progress.round, reply.round)
         if reply.is_match:
             progress.match_index = max(progress.match_index, reply.match_index)
@@ -151,18 +158,20 @@
             self._advance_commit()
         else:
             progress.next_index = max(progress.match_index, reply.match_index) + 1
-        if not reply.is_match or progress.next_index <= state.log.last_index:
+        is_behind = not reply.is_match or progress.next_index <= state.log.last_index
+        if is_behind and reply.sender in state.progress:
             self._send_append(reply.sender)
         self._reads.confirm()
         self._transfer.advance()
 
     def _advance_commit(self) -> None:
         state = self._state
-        index = quorum_value(state.membership.voters, self._match_index_of)
+        index = state.reached_by_quorum(self._match_index_of)
         # Only an entry of the current term is committed by counting replicas; older
         # entries are committed along with it (Ongaro, section 3.6.2).
         if index > state.commit_index and state.log.term_at(index) == state.term:
             state.commit_index = index
+            self.reconcile_progress()
             # The new commit index is sent at once. The followers then apply a change
             # one message delay after it was acknowledged rather than a heartbeat later,
             # even if the leader crashes right after acknowledging it.
--- a/src/cinderway/replication/_log.py
+++ b/src/cinderway/replication/_log.py
@@ -37,6 +37,11 @@
         """The current membership: the newest one in the log."""
         return self._memberships[-1][1]
 
+    @property
+    def previous_membership(self) -> Membership | None:
+        """The membership before the current one; None if it is not in the log."""
+        return self._memberships[-2][1] if len(self._memberships) > 1 else None
+
     @property
     def membership_index(self) -> int:
         """Index of the entry that introduced the current membership."""
--- a/src/cinderway/replication/_member_changes.py
+++ b/src/cinderway/replication/_member_changes.py
@@ -1,5 +1,7 @@
 """Single-server membership changes (Ongaro, chapter 4)."""
 
+import msgspec
+
 from cinderway._errors import CinderwayError, ErrorCode, Step
 from cinderway._ids import NO_REPLICA, Address, ReplicaId
 from cinderway.replication._leader_log import LeaderLog
@@ -10,6 +12,7 @@
     VoteRequest,
 )
 from cinderway.replication._progress import next_membership
+from cinderway.replication._quorum import has_spare_voters
 from cinderway.replication._state import ReplicaState
 
 # A learner this close to the end of the leader's log catches up with one message.
@@ -94,19 +97,53 @@
         """Make the next membership change that is due, if any."""
         if not self._can_change():
             return
-        membership = next_membership(
-            self._state.membership, self._joining, self._is_caught_up
+        current = self._state.membership
+        membership = (
+            next_membership(current, self._joining, self._is_caught_up)
+            or self._without_replaced_voter(target_voters)
+            or current
+        )
+        membership = msgspec.structs.replace(
+            membership,
+            tolerated_losses=self._choose_tolerated_losses(membership, target_voters),
         )
-        if membership is None:
-            membership = self._without_replaced_voter(target_voters)
-        if membership is not None:
+        if membership != current or not self._is_commit_logged():
             self._apply_membership(membership)
 
+    def _choose_tolerated_losses(
+        self, membership: Membership, target_voters: int
+    ) -> int:
+        """Return the losses to tolerate; 0 while a voter does not know such quorums."""
+        state = self._state
+        support = {
+            state.progress[voter].supports_proven_losses
+            for voter in membership.voters - {state.replica_id}
+        }
+        if target_voters == 0 or False in support:
+            return 0
+        if None in support:
+            return state.membership.tolerated_losses
+        return (target_voters - 1) // 2
+
+    def _is_commit_logged(self) -> bool:
+        """Whether logs show that the current membership, now committed, is committed.
+
+        A membership that follows another one in a log shows that the other one was
+        committed. So the current one is appended once more: a replica that restarts
+        does not know the commit index, and would need a quorum of the previous
+        membership, too.
+        """
+        current, previous = self._state.membership, self._state.log.previous_membership
+        if previous is None or previous == current:
+            return True
+        return not (has_spare_voters(current) or has_spare_voters(previous))
+
     def _without_replaced_voter(self, target_voters: int) -> Membership | None:
         """Return the membership without a silent voter that was replaced, if any.
 
         This applies only while there are more voters than wanted: a silent voter that
-        has not been replaced may come back, so it keeps its vote.
+        has not been replaced keeps its vote. One that was not gone for good joins again
+        by itself.
         """
         state = self._state
         if not 0 < target_voters < len(state.membership.voters):
--- a/src/cinderway/replication/_messages.py
+++ b/src/cinderway/replication/_messages.py
@@ -34,10 +34,16 @@
 
 
 class Membership(msgspec.Struct, frozen=True):
-    """All replicas of the group, by id."""
+    """All replicas of the group, by id.
+
+    `tolerated_losses` is the number of disks that may be lost at once while members are
+    replaced, which sets the quorums; 0 stands for plain majorities. It is 0 as long as
+    a voter does not know these quorums, and in logs of builds that did not.
+    """
 
     cluster_id: int
     members: dict[ReplicaId, Member]
+    tolerated_losses: int = 0
 
     @property
     def voters(self) -> frozenset[ReplicaId]:
@@ -48,12 +54,14 @@
 
     def with_member(self, replica_id: ReplicaId, member: Member) -> "Membership":
         """Return the membership with one replica added or replaced."""
-        return Membership(self.cluster_id, {**self.members, replica_id: member})
+        return msgspec.structs.replace(
+            self, members={**self.members, replica_id: member}
+        )
 
     def without(self, replica_id: ReplicaId) -> "Membership":
         """Return the membership with one replica removed."""
         remaining = {k: v for k, v in self.members.items() if k != replica_id}
-        return Membership(self.cluster_id, remaining)
+        return msgspec.structs.replace(self, members=remaining)
 
     def encode(self) -> bytes:
         """Return the encoded form that log entries and snapshots store."""
@@ -104,6 +112,9 @@
     sender_address: Address
     # 0 in requests of builds that did not send it.
     cluster_id: int = 0
+    # Identifies a pre-vote request to one voter. A new replica at the voter's address
+    # returns it in a join request, which proves that the voter's disk is lost.
+    nonce: int = 0
 
 
 class VoteReply(Message, frozen=True):
@@ -147,6 +158,8 @@
     is_match: bool
     match_index: int
     round: int
+    # False in replies of builds without such quorums.
+    supports_proven_losses: bool = False
 
 
 class SnapshotRequest(Message, frozen=True):
@@ -171,12 +184,14 @@
     """A replica that is not a member asks to join the group as a learner.
 
     `cluster_id` is 0 if its data folder is new; otherwise it was a member before.
+    `answered_nonce` is that of the vote request which this request answers, or 0.
     """
 
     sender: ReplicaId
     target: ReplicaId
     address: Address
     cluster_id: int
+    answered_nonce: int = 0
 
 
 ReplicaMessage = (
--- a/src/cinderway/replication/_node.py
+++ b/src/cinderway/replication/_node.py
@@ -11,14 +11,13 @@
 
 from cinderway._clock import monotonic_ms
 from cinderway._errors import CinderwayError, ErrorCode, Step
-from cinderway._ids import NO_REPLICA, Address, ReplicaId
+from cinderway._ids import Address, ReplicaId
 from cinderway.replication._core import ConfirmedRead, Output, Replica, Role, Timing
 from cinderway.replication._links import Links
 from cinderway.replication._messages import (
     REPLICATION,
     Entry,
     EntryKind,
-    JoinRequest,
     Membership,
     Snapshot,
 )
@@ -255,7 +254,7 @@
         while True:
             if self.core.needs_to_join:
                 for address in self._find_join_contacts():
-                    links.send(address, self._join_request())
+                    links.send(address, self.core.build_join_request())
             await anyio.sleep(JOIN_INTERVAL_S)
 
     def _find_join_contacts(self) -> set[Address]:
@@ -263,14 +262,6 @@
         known = {*self.peers, *(member.address for member in members)}
         return known - {self.settings.address}
 
-    def _join_request(self) -> JoinRequest:
-        return JoinRequest(
-            sender=self.core.replica_id,
-            target=NO_REPLICA,
-            address=self.settings.address,
-            cluster_id=self.core.membership.cluster_id,
-        )
-
     async def _receive(self, connection: Connection, name: str) -> None:
         while True:
             envelope = await connection.receive()
--- a/src/cinderway/replication/_progress.py
+++ b/src/cinderway/replication/_progress.py
@@ -1,6 +1,6 @@
-"""A leader's view of each member, quorum computations, and the next member change."""
+"""A leader's view of each member, and the next member change."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from cinderway._ids import Address, ReplicaId
@@ -14,6 +14,7 @@
     `joined_at_index` is the index of the membership entry that added the member. A
     learner below it has not even received that entry, so it has not caught up, however
     short the log is. `round` is the latest broadcast round that the member answered.
+    `supports_proven_losses` is None until the member has answered this leader.
     """
 
     next_index: int
@@ -22,19 +23,7 @@
     match_index: int = 0
     round: int = 0
     snapshot_retry_at_ms: int = 0
-
-
-def quorum_value(
-    voters: frozenset[ReplicaId], value_of: Callable[[ReplicaId], int]
-) -> int:
-    """Return the largest value that a quorum of the voters has reached."""
-    values = sorted((value_of(voter) for voter in voters), reverse=True)
-    return values[len(values) // 2]
-
-
-def is_quorum(voters: frozenset[ReplicaId], ids: Iterable[ReplicaId]) -> bool:
-    """Whether the ids include more than half of the voters; other ids do not count."""
-    return 2 * len(voters.intersection(ids)) > len(voters)
+    supports_proven_losses: bool | None = None
 
 
 def next_membership(
--- /dev/null
+++ b/src/cinderway/replication/_quorum.py
@@ -0,0 +1,72 @@
+"""How many votes elect a leader, and how many copies commit an entry.
+
+A plain membership uses majorities. A membership with `tolerated_losses` is one whose
+members are replaced while the group runs: a replaced member may be gone for good, still
+voting by the books, at the moment at which that many disks are lost. Then fewer than a
+majority may be left. Two things together keep such a group available:
+
+- entries are on more than a majority of the members where a majority could vanish at
+  once (`copies_needed`);
+- a member whose disk is known to be lost is not waited for: its loss is proven by a new
+  replica without any state that runs at its address (`Elections`).
+
+Two quorums of one membership always have a member in common that took part in both,
+provided that a proven loss precedes the first vote of the election that relies on it.
+docs/design/quorums.md has the argument.
+"""
+
+from collections.abc import Callable, Iterable, Set
+
+from cinderway._ids import ReplicaId
+from cinderway.replication._messages import Membership
+
+NONE_LOST: frozenset[ReplicaId] = frozenset()
+
+
+def has_spare_voters(membership: Membership) -> bool:
+    """Whether members are being replaced: there are more voters than losses need."""
+    tolerated = membership.tolerated_losses
+    return tolerated > 0 and len(membership.voters) > 2 * tolerated + 1
+
+
+def copies_needed(membership: Membership) -> int:
+    """Return on how many voters an entry must be to be committed.
+
+    As many replacements as losses are tolerated can be under way at once, so that as
+    many replaced members may vanish together with as many lost disks.
+    """
+    voters, tolerated = len(membership.voters), membership.tolerated_losses
+    majority = voters // 2 + 1
+    if not has_spare_voters(membership):
+        return majority
+    return max(majority, min(voters - tolerated, 2 * tolerated + 1))
+
+
+def quorum_size(membership: Membership, lost: Set[ReplicaId] = NONE_LOST) -> int:
+    """Return how many voters are a quorum, given the voters proven to be lost."""
+    needed = copies_needed(membership)
+    if not has_spare_voters(membership):
+        return needed
+    # With more proven losses than this, two quorums could be disjoint.
+    max_reduction = 2 * needed - len(membership.voters) - 1
+    return needed - min(len(membership.voters & lost), max_reduction)
+
+
+def is_quorum(
+    membership: Membership,
+    ids: Iterable[ReplicaId],
+    lost: Set[ReplicaId] = NONE_LOST,
+) -> bool:
+    """Whether the ids include a quorum; ids that are not voters do not count."""
+    present = membership.voters.intersection(ids)
+    return len(present) >= quorum_size(membership, lost)
+
+
+def quorum_value(
+    membership: Membership,
+    value_of: Callable[[ReplicaId], int],
+    lost: Set[ReplicaId] = NONE_LOST,
+) -> int:
+    """Return the largest value that a quorum has reached."""
+    values = sorted(map(value_of, membership.voters), reverse=True)
+    return values[quorum_size(membership, lost) - 1]
--- a/src/cinderway/replication/_reads.py
+++ b/src/cinderway/replication/_reads.py
@@ -7,7 +7,6 @@
 
 from cinderway._ids import ReplicaId
 from cinderway.replication._output import ConfirmedRead
-from cinderway.replication._progress import quorum_value
 from cinderway.replication._state import ReplicaState
 
 
@@ -37,7 +36,7 @@
 
     def confirm(self) -> None:
         """Output the reads whose round a quorum has answered."""
-        confirmed = quorum_value(self._state.membership.voters, self._round_of)
+        confirmed = self._state.reached_by_quorum(self._round_of)
         while self._pending and self._pending[0][0] <= confirmed:
             self._state.output.reads.append(self._pending.pop(0)[1])
 
--- a/src/cinderway/replication/_state.py
+++ b/src/cinderway/replication/_state.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from cinderway._errors import CinderwayError, ErrorCode, Step
@@ -21,6 +22,12 @@
 )
 from cinderway.replication._output import Output
 from cinderway.replication._progress import Progress
+from cinderway.replication._quorum import (
+    NONE_LOST,
+    has_spare_voters,
+    is_quorum,
+    quorum_value,
+)
 
 
 class Role(enum.Enum):
@@ -71,6 +78,9 @@
         self.now_ms = now_ms
         self.role = Role.FOLLOWER
         self.leader_id = NO_REPLICA
+        # Members whose disks were proven to be lost before this replica requested the
+        # votes of its election; used by that election and by the leader it results in.
+        self.proven_lost: frozenset[ReplicaId] = NONE_LOST
         self.leader_heard_at_ms: int | None = None
         self.commit_index = log.snapshot.index
         self.persisted_index = log.last_index
@@ -95,6 +105,35 @@
         """The current membership: the newest in this replica's log."""
         return self.log.membership
 
+    @property
+    def memberships_in_force(self) -> list[Membership]:
+        """The memberships of which each decision needs a quorum.
+
+        As long as the newest membership in the log is not known to be committed, the
+        one before it may still be in use elsewhere. Where both decide by majority, the
+        newest is enough, as majorities of memberships that differ by one voter overlap.
+        """
+        newest, previous = self.membership, self.log.previous_membership
+        if self.log.membership_index <= self.commit_index or previous is None:
+            return [newest]
+        if has_spare_voters(newest) or has_spare_voters(previous):
+            return [previous, newest]
+        return [newest]
+
+    def has_quorum(self, ids: Iterable[ReplicaId], lost: frozenset[ReplicaId]) -> bool:
+        """Whether the ids include a quorum of each membership in force."""
+        ids = set(ids)
+        return all(
+            is_quorum(membership, ids, lost) for membership in self.memberships_in_force
+        )
+
+    def reached_by_quorum(self, value_of: Callable[[ReplicaId], int]) -> int:
+        """Return the largest value that a quorum of each membership has reached."""
+        return min(
+            quorum_value(membership, value_of, self.proven_lost)
+            for membership in self.memberships_in_force
+        )
+
     @property
     def is_leader(self) -> bool:
         """Whether this replica acts as leader; another may already have replaced it."""
@@ -192,9 +231,11 @@
 
     def send(self, message: ReplicaMessage) -> None:
         """Send a message to its target, at the address given by the membership."""
-        member = self.membership.members.get(message.target)
-        if member is not None:
-            self.send_to_address(member.address, message)
+        for membership in self.memberships_in_force:
+            member = membership.members.get(message.target)
+            if member is not None:
+                self.send_to_address(member.address, message)
+                return
 
     def send_to_address(self, address: Address, message: ReplicaMessage) -> None:
         """Send to an address, as the receiver need not be a member yet."""
--- a/src/cinderway/wire/schemas/replication.capnp
+++ b/src/cinderway/wire/schemas/replication.capnp
@@ -25,6 +25,7 @@
   isTransfer @6 :Bool;
   senderAddress @7 :Text;
   clusterId @8 :UInt64;
+  nonce @9 :UInt64;
 }
 
 struct VoteReply {
@@ -61,6 +62,7 @@
   isMatch @3 :Bool;
   matchIndex @4 :UInt64;
   round @5 :UInt64;
+  supportsProvenLosses @6 :Bool;
 }
 
 struct SnapshotRequest {
@@ -89,4 +91,5 @@
   target @1 :UInt64;
   address @2 :Text;
   clusterId @3 :UInt64;
+  answeredNonce @4 :UInt64;
 }
--- /dev/null
+++ b/tests/replication/test_quorum.py
@@ -0,0 +1,358 @@
+"""Quorums of a group in which members are replaced, and what proves a lost disk."""
+
+import itertools
+import random
+import unittest
+
+from cinderway.replication._core import Replica, Role, Timing
+from cinderway.replication._log import Log
+from cinderway.replication._messages import (
+    AppendReply,
+    HardState,
+    JoinRequest,
+    Member,
+    Membership,
+    Snapshot,
+    VoteReply,
+    VoteRequest,
+)
+from cinderway.replication._quorum import copies_needed, has_spare_voters, quorum_size
+from tests.replication.test_core import TIMING
+from tests.replication.virtual_group import Group, Setup
+
+RECOVERY_MS = 15_000
+CATCH_UP_MS = 4_000
+SETUP = Setup(5, 2, Timing())
+
+
+def build_membership(voters, tolerated_losses=2):
+    members = {i: Member(f"a{i}", is_voter=True) for i in range(1, voters + 1)}
+    return Membership(7, members, tolerated_losses)
+
+
+class QuorumSizeTests(unittest.TestCase):
+    """Every two quorums must share a voter that took part in both.
+
+    The losses proven to one candidate need not be those proven to another. A voter
+    whose loss is proven to a candidate has not voted for it, nor acknowledged its
+    entries, but may have done so for the other before.
+    """
+
+    def memberships(self):
+        for tolerated in (1, 2, 3):
+            for voters in range(1, 13):
+                yield build_membership(voters, tolerated)
+
+    def sizes(self, membership):
+        """Return the quorum's size for each possible number of proven losses."""
+        voters = sorted(membership.voters)
+        return [
+            quorum_size(membership, frozenset(voters[:count]))
+            for count in range(len(voters) + 1)
+        ]
+
+    def test_two_quorums_overlap_whatever_losses_were_proven_to_each(self):
+        for membership in self.memberships():
+            voters = len(membership.voters)
+            sizes = self.sizes(membership)
+            with self.subTest(voters=voters, tolerated=membership.tolerated_losses):
+                for count, size in enumerate(sizes):
+                    # The other quorum is outside this one and of voters not proven to
+                    # be lost to this one's candidate.
+                    outside = voters - size - min(count, voters - size)
+                    self.assertLess(outside, min(sizes))
+
+    def test_a_quorum_without_proofs_overlaps_even_if_a_proof_is_wrong(self):
+        for membership in self.memberships():
+            sizes = self.sizes(membership)
+            self.assertGreater(sizes[0] + min(sizes), len(membership.voters))
+
+    def test_entries_survive_replaced_members_and_lost_disks_together(self):
+        """A majority of seven could vanish: two replaced, and two lost."""
+        for tolerated in (1, 2, 3):
+            for replaced in range(1, tolerated + 1):
+                membership = build_membership(2 * tolerated + 1 + replaced, tolerated)
+                with self.subTest(tolerated=tolerated, replaced=replaced):
+                    vanished = replaced + tolerated
+                    self.assertGreater(copies_needed(membership), vanished)
+                    proven = frozenset(itertools.islice(membership.voters, tolerated))
+                    left = len(membership.voters) - vanished
+                    self.assertGreaterEqual(left, quorum_size(membership, proven))
+
+    def test_without_spare_voters_proofs_change_nothing(self):
+        for voters in range(1, 6):
+            membership = build_membership(voters)
+            self.assertFalse(has_spare_voters(membership))
+            self.assertEqual(set(self.sizes(membership)), {voters // 2 + 1})
+
+    def test_a_plain_membership_has_majorities(self):
+        for voters in range(1, 9):
+            membership = build_membership(voters, tolerated_losses=0)
+            self.assertEqual(set(self.sizes(membership)), {voters // 2 + 1})
+
+
+class CandidateCase(unittest.TestCase):
+    """Replica 1 of six voters requests votes; the others are played by the test."""
+
+    tolerated_losses = 2
+
+    def setUp(self):
+        self.now_ms = 0
+        membership = build_membership(6, self.tolerated_losses)
+        snapshot = Snapshot(5, 2, membership.encode(), b"")
+        self.replica = Replica(
+            1, "a1", Log(snapshot), HardState(2), TIMING, random.Random(1), 0, 5
+        )
+
+    def run_until(self, role):
+        """Let time pass until the replica has a role; return its last vote requests."""
+        requests = {}
+        for _ in range(100):
+            for sent in self.replica.take_output().outgoing:
+                if isinstance(sent.message, VoteRequest):
+                    requests[sent.message.target] = sent.message
+            if self.replica.role is role:
+                return requests
+            self.now_ms += 20
+            self.replica.tick(self.now_ms)
+        raise AssertionError(f"the replica is not a {role.value}")
+
+    def grant(self, requests, *voters):
+        for voter in voters:
+            request = requests[voter]
+            reply = VoteReply(voter, 1, request.term, True, request.is_pre_vote)
+            self.replica.step(reply, self.now_ms)
+
+    def prove_lost(self, requests, voter, *, nonce=None):
+        """Answer from a replica without state at a voter's address."""
+        nonce = requests[voter].nonce if nonce is None else nonce
+        request = JoinRequest(99, 0, f"a{voter}", 0, nonce)
+        self.replica.step(request, self.now_ms)
+
+    def end_round(self):
+        """Let the time of the current round pass."""
+        began_as = self.replica.role
+        for _ in range(60):
+            self.now_ms += 20
+            self.replica.tick(self.now_ms)
+            if self.replica.role is not began_as:
+                return
+
+    def elect(self):
+        """Win an election with three of six votes, as the loss of voter 6 is proven."""
+        requests = self.run_until(Role.PRE_CANDIDATE)
+        self.grant(requests, 2, 3)
+        self.prove_lost(requests, 6)
+        requests = self.run_until(Role.CANDIDATE)
+        self.grant(requests, 2, 3)
+
+
+class ProvenLossTests(CandidateCase):
+    """Half of the voters elect a leader only if a lost disk is proven to be lost."""
+
+    def test_half_of_the_voters_and_a_proven_loss_elect_a_leader(self):
+        self.elect()
+        self.assertTrue(self.replica.is_leader)
+
+    def test_half_of_the_voters_alone_elect_nobody(self):
+        """The other half may be alive, and elect another leader in the same term."""
+        requests = self.run_until(Role.PRE_CANDIDATE)
+        self.grant(requests, 2, 3)
+        self.end_round()
+        self.assertIs(self.replica.role, Role.PRE_CANDIDATE)
+
+    def test_a_proof_counts_only_after_a_round_without_a_full_quorum(self):
+        requests = self.run_until(Role.PRE_CANDIDATE)
+        self.grant(requests, 2, 3)
+        self.prove_lost(requests, 6)
+        self.assertIs(self.replica.role, Role.PRE_CANDIDATE)
+        self.end_round()
+        self.assertIs(self.replica.role, Role.CANDIDATE)
+
+    def test_a_loss_proven_during_the_election_does_not_count(self):
+        """The lost voter may have voted for another candidate of this term before."""
+        requests = self.run_until(Role.PRE_CANDIDATE)
+        self.grant(requests, 2, 3, 4)
+        self.assertIs(self.replica.role, Role.CANDIDATE)
+        self.grant(self.run_until(Role.CANDIDATE), 2, 3)
+        self.prove_lost(requests, 6)
+        self.assertIs(self.replica.role, Role.CANDIDATE)
+        self.end_round()
+        self.assertFalse(self.replica.is_leader)
+
+    def test_a_late_answer_to_an_earlier_round_proves_nothing(self):
+        """The voter may have replaced the replica that answered."""
+        earlier = self.run_until(Role.PRE_CANDIDATE)
+        for _ in range(60):
+            self.now_ms += 20
+            self.replica.tick(self.now_ms)
+        requests = self.run_until(Role.PRE_CANDIDATE)
+        self.assertNotEqual(earlier[6].nonce, requests[6].nonce)
+        self.grant(requests, 2, 3)
+        self.prove_lost(requests, 6, nonce=earlier[6].nonce)
+        self.end_round()
+        self.assertIs(self.replica.role, Role.PRE_CANDIDATE)
+
+    def test_a_join_request_that_answers_no_vote_request_proves_nothing(self):
+        """It may be old, or forged by a process at another address."""
+        requests = self.run_until(Role.PRE_CANDIDATE)
+        self.grant(requests, 2, 3)
+        for nonce in (0, 12345):
+            self.prove_lost(requests, 6, nonce=nonce)
+        self.end_round()
+        self.assertIs(self.replica.role, Role.PRE_CANDIDATE)
+
+    def test_a_leader_that_hears_from_a_voter_no_longer_takes_it_for_lost(self):
+        self.elect()
+        self.assertEqual(self.replica.proven_lost, {6})
+        self.replica.step(AppendReply(6, 1, 3, True, 5, 1), self.now_ms)
+        self.assertEqual(self.replica.proven_lost, set())
+
+    def test_without_all_voters_support_half_of_them_elect_nobody(self):
+        plain = build_membership(6, tolerated_losses=0)
+        self.replica.log = Log(Snapshot(5, 2, plain.encode(), b""))
+        requests = self.run_until(Role.PRE_CANDIDATE)
+        self.grant(requests, 2, 3)
+        self.prove_lost(requests, 6)
+        self.end_round()
+        self.assertIs(self.replica.role, Role.PRE_CANDIDATE)
+
+
+class EmptyReplicaTests(unittest.TestCase):
+    """A replica without state answers what is meant for its address's previous one."""
+
+    def answer(self, replica):
+        request = VoteRequest(2, 1, 3, 5, 2, True, False, "a2", 7, 4711)
+        replica.step(request, 0)
+        return [sent.message for sent in replica.take_output().outgoing]
+
+    def build(self, snapshot):
+        return Replica(
+            9, "a1", Log(snapshot), HardState(), TIMING, random.Random(1), 0, 5
+        )
+
+    def test_it_asks_the_sender_to_join_and_returns_the_nonce(self):
+        (request,) = self.answer(
+            self.build(Snapshot(0, 0, Membership(0, {}).encode(), b""))
+        )
+        self.assertEqual(request, JoinRequest(9, 0, "a1", 0, 4711))
+
+    def test_a_replica_with_state_does_not_prove_a_loss(self):
+        """A previous member's folder that is mounted again is no lost disk."""
+        snapshot = Snapshot(5, 2, build_membership(5).encode(), b"")
+        self.assertEqual(self.answer(self.build(snapshot)), [])
+
+
+class UncommittedRemovalTests(CandidateCase):
+    """A removal that is not committed yet needs a quorum of both memberships.
+
+    Otherwise the rest could commit entries that half of the old membership, with the
+    proof of one lost disk, knows nothing of.
+    """
+
+    def setUp(self):
+        super().setUp()
+        for role in (Role.PRE_CANDIDATE, Role.CANDIDATE):
+            self.grant(self.run_until(role), 2, 3, 4)
+        self.acknowledge(2, 3, 4)
+        self.replica.remove_member(6)
+        self.removal_index = self.replica.log.last_index
+
+    def acknowledge(self, *voters):
+        """Let the replica's disk and some voters hold the whole log."""
+        core = self.replica
+        core.take_output()
+        core.record_persisted(core.log.last_index, core.log.last_term)
+        for voter in voters:
+            reply = AppendReply(voter, 1, core.term, True, core.log.last_index, 1, True)
+            core.step(reply, self.now_ms)
+
+    def test_a_majority_of_the_new_membership_commits_nothing(self):
+        self.acknowledge(2, 3)
+        self.assertLess(self.replica.commit_index, self.removal_index)
+
+    def test_a_quorum_of_both_memberships_commits_the_removal(self):
+        self.acknowledge(2, 3, 4)
+        self.assertEqual(self.replica.commit_index, self.removal_index)
+
+    def test_the_removed_voter_counts_until_the_removal_is_committed(self):
+        self.acknowledge(2, 3, 6)
+        self.assertEqual(self.replica.commit_index, self.removal_index)
+        self.assertNotIn(6, self.replica.progress)
+
+
+class ReplacedVoterTests(unittest.TestCase):
+    """Two disks are lost at the moment at which a replaced machine goes.
+
+    The machine still had a vote, so that three of six voters were left: no quorum for
+    good, although no more disks were lost than are tolerated.
+    """
+
+    def recover_after(self, seed, *, with_notice, delay_ms, lost=2):
+        group = Group(SETUP, seed)
+        group.run_for(CATCH_UP_MS)
+        machines = list(group.machines.values())
+        group.start(group.add_machine())
+        group.run_for(CATCH_UP_MS)
+        random.Random(seed).shuffle(machines)
+        group.remove(machines.pop(), with_notice=with_notice)
+        group.run_for(delay_ms)
+        for machine in machines[:lost]:
+            group.lose_disk(machine)
+        group.run_for(1_000)
+        for machine in machines[:lost]:
+            group.start(machine)
+        back_at_ms = group.now_ms
+        self.assertTrue(
+            group.run_until(lambda: (group.read_at_ms or 0) > back_at_ms, RECOVERY_MS)
+        )
+
+    def test_a_group_recovers_if_the_machine_goes_without_notice(self):
+        for seed in range(10):
+            for delay_ms in (0, 50, 500, 1_000):
+                with self.subTest(seed=seed, delay_ms=delay_ms):
+                    self.recover_after(seed, with_notice=False, delay_ms=delay_ms)
+
+    def test_a_group_recovers_if_the_machine_is_told_to_stop(self):
+        for seed in range(10):
+            for delay_ms in (0, 50, 500, 1_000):
+                with self.subTest(seed=seed, delay_ms=delay_ms):
+                    self.recover_after(seed, with_notice=True, delay_ms=delay_ms)
+
+    def test_one_lost_disk_is_enough_of_a_proof(self):
+        """The other machine may stay down for long."""
+        group = Group(SETUP, 1)
+        group.run_for(CATCH_UP_MS)
+        gone, lost, down = list(group.machines.values())[-3:]
+        group.start(group.add_machine())
+        group.run_for(CATCH_UP_MS)
+        group.remove(gone, with_notice=False)
+        group.kill(down)
+        group.lose_disk(lost)
+        group.run_for(1_000)
+        group.start(lost)
+        back_at_ms = group.now_ms
+        self.assertTrue(
+            group.run_until(lambda: (group.read_at_ms or 0) > back_at_ms, RECOVERY_MS)
+        )
+
+
+class MixedBuildTests(unittest.TestCase):
+    """While a voter does not know these quorums, the group decides by majorities."""
+
+    def test_tolerated_losses_are_used_only_once_all_voters_support_them(self):
+        group = Group(SETUP, 1)
+        group.run_for(CATCH_UP_MS)
+        leader = group.find_leader()
+        self.assertEqual(leader.core.membership.tolerated_losses, 2)
+        follower = next(
+            i for i in leader.core.membership.voters if i != leader.core.replica_id
+        )
+        reply = AppendReply(
+            follower, leader.core.replica_id, leader.core.term, True, 1, 0
+        )
+        leader.receive(reply)
+        leader.core.tick(group.now_ms)
+        self.assertEqual(leader.core.membership.tolerated_losses, 0)
+        group.run_for(1_000)
+        self.assertEqual(group.find_leader().core.membership.tolerated_losses, 2)
