replication: a replaced voter is removed as soon as it is out of contact

Cause: a voter that is gone keeps its vote until it was silent for 5 s to one leader. The successor's time is over earlier, so two more machines may go, which proves nothing: three of six voters are left. Each election begins the silence anew, and the new leader removes whichever silent voter has the smallest id, also one with a slow disk beside the one that is gone.

Change: once a leader has no contact with a voter (its own time limit for staying leader), the voter can be removed if there are spare ones. A voter that was only silent joins again by itself. Heartbeats name the members without contact, so that a new leader goes on counting, and the one silent for longest is removed first.

The two new tests of SilentVoterTests pass; without the seeded progress the first one fails.

--- a/src/cinderway/replication/_elections.py
+++ b/src/cinderway/replication/_elections.py
@@ -95,6 +95,8 @@
     def _start_pre_vote(self) -> None:
         state = self._state
         state.role = Role.PRE_CANDIDATE
+        if state.leader_id != NO_REPLICA and state.leader_heard_at_ms is not None:
+            state.silent_since_ms[state.leader_id] = state.leader_heard_at_ms
         state.leader_id = NO_REPLICA
         state.proven_lost = NONE_LOST
         self._votes = {state.replica_id}
@@ -209,6 +211,7 @@
         wanted_term = state.term + 1 if reply.is_pre_vote else state.term
         if state.role is wanted_role and reply.term == wanted_term:
             self._votes.add(reply.sender)
+            state.silent_since_ms.pop(reply.sender, None)
             self._count_votes()
 
     def receive_take_over(self, message: TakeOver) -> None:
--- a/src/cinderway/replication/_follower_log.py
+++ b/src/cinderway/replication/_follower_log.py
@@ -29,6 +29,7 @@
             self._reply_append(request, is_match=False, match_index=0)
             return
         self._follow_leader(request.sender, request.term)
+        state.record_silent_members(request.silent_members)
         if not self._has_matching_entry(request.previous_index, request.previous_term):
             hint = self._match_hint(request.previous_index)
             self._reply_append(request, is_match=False, match_index=hint)
--- a/src/cinderway/replication/_leader_log.py
+++ b/src/cinderway/replication/_leader_log.py
@@ -40,6 +40,7 @@
         self._become_follower = become_follower
         self.is_broadcast_due = False
         self._next_heartbeat_at_ms = state.now_ms
+        self._silent_members: list[ReplicaId] = []
 
     def start(self) -> None:
         """Start as leader and append an empty entry.
@@ -64,7 +65,7 @@
         for replica_id in members - state.progress.keys():
             state.progress[replica_id] = Progress(
                 next_index=state.log.last_index + 1,
-                last_heard_ms=state.now_ms,
+                last_heard_ms=state.silent_since_ms.get(replica_id, state.now_ms),
                 joined_at_index=state.log.membership_index,
             )
         for replica_id in state.progress.keys() - members:
@@ -84,6 +85,9 @@
         self.is_broadcast_due = False
         self._next_heartbeat_at_ms = state.now_ms + state.timing.heartbeat_ms
         self._reads.start_round()
+        self._silent_members = state.silent_since(
+            state.now_ms - state.timing.quorum_contact_timeout_ms
+        )
         for replica_id in state.progress:
             if replica_id != state.replica_id:
                 self._send_append(replica_id)
@@ -119,6 +123,7 @@
             round=self._reads.round,
             entries=entries,
             sender_address=state.address,
+            silent_members=self._silent_members,
         )
         # The request is assumed to be delivered. If it is lost, the next heartbeat
         # does not match, and the reply tells at which index to continue.
--- a/src/cinderway/replication/_member_changes.py
+++ b/src/cinderway/replication/_member_changes.py
@@ -148,11 +148,14 @@
         state = self._state
         if not 0 < target_voters < len(state.membership.voters):
             return None
-        oldest_ms = state.now_ms - state.timing.voter_replacement_timeout_ms
-        replaced = state.membership.voters.intersection(state.silent_since(oldest_ms))
-        if not replaced:
+        oldest_ms = state.now_ms - state.timing.quorum_contact_timeout_ms
+        silent = state.membership.voters.intersection(state.silent_since(oldest_ms))
+        if not silent:
             return None
-        return state.membership.without(min(replaced))
+        longest_silent = min(
+            silent, key=lambda voter: (state.progress[voter].last_heard_ms, voter)
+        )
+        return state.membership.without(longest_silent)
 
     def _can_change(self) -> bool:
         state = self._state
--- a/src/cinderway/replication/_messages.py
+++ b/src/cinderway/replication/_messages.py
@@ -131,7 +131,7 @@
     """The leader's heartbeat, with the entries that follow `previous_index`.
 
     `round` counts the leader's broadcasts; the reply returns it, which lets the leader
-    confirm reads.
+    confirm reads. `silent_members` are those that the leader has no contact with.
     """
 
     sender: ReplicaId
@@ -143,6 +143,7 @@
     round: int
     entries: list[Entry]
     sender_address: Address
+    silent_members: list[ReplicaId] = []
 
 
 class AppendReply(Message, frozen=True):
--- a/src/cinderway/replication/_state.py
+++ b/src/cinderway/replication/_state.py
@@ -52,10 +52,9 @@
     startup_min_ms: int = 400
     startup_max_ms: int = 800
     # A leader that has not heard from a quorum for this long steps down; until then
-    # its followers may still regard it as the leader.
+    # its followers may still regard it as the leader. A voter that is silent for this
+    # long is removed if another one has replaced it.
     quorum_contact_timeout_ms: int = 800
-    # A voter that is silent for this long may be removed once another has replaced it.
-    voter_replacement_timeout_ms: int = 5_000
 
 
 class ReplicaState:
@@ -82,6 +81,9 @@
         # votes of its election; used by that election and by the leader it results in.
         self.proven_lost: frozenset[ReplicaId] = NONE_LOST
         self.leader_heard_at_ms: int | None = None
+        # Members without contact to the last known leader, or that leader itself, with
+        # the time since when this is known. It seeds a new leader's progress.
+        self.silent_since_ms: dict[ReplicaId, int] = {}
         self.commit_index = log.snapshot.index
         self.persisted_index = log.last_index
         # Progress of each member including this replica; only a leader tracks it.
@@ -162,6 +164,13 @@
             return False
         return self.now_ms - self.leader_heard_at_ms < duration_ms
 
+    def record_silent_members(self, silent: Iterable[ReplicaId]) -> None:
+        """Record the members that the leader has no contact with."""
+        self.silent_since_ms = {
+            replica_id: self.silent_since_ms.get(replica_id, self.now_ms)
+            for replica_id in silent
+        }
+
     def silent_members(self) -> list[ReplicaId]:
         """Members that the leader has not heard from for `election_max_ms`."""
         if not self.is_leader:
--- a/src/cinderway/wire/schemas/replication.capnp
+++ b/src/cinderway/wire/schemas/replication.capnp
@@ -53,6 +53,7 @@
   round @6 :UInt64;
   entries @7 :List(Entry);
   senderAddress @8 :Text;
+  silentMembers @9 :List(UInt64);
 }
 
 struct AppendReply {
--- a/tests/replication/test_quorum.py
+++ b/tests/replication/test_quorum.py
@@ -4,10 +4,12 @@
 import random
 import unittest
 
+from cinderway._ids import Address
 from cinderway.replication._core import Replica, Role, Timing
 from cinderway.replication._log import Log
 from cinderway.replication._messages import (
     AppendReply,
+    AppendRequest,
     HardState,
     JoinRequest,
     Member,
@@ -138,6 +140,15 @@
             if self.replica.role is not began_as:
                 return
 
+    def acknowledge(self, *voters):
+        """Let the replica's disk and some voters hold the whole log."""
+        core = self.replica
+        core.take_output()
+        core.record_persisted(core.log.last_index, core.log.last_term)
+        for voter in voters:
+            reply = AppendReply(voter, 1, core.term, True, core.log.last_index, 1, True)
+            core.step(reply, self.now_ms)
+
     def elect(self):
         """Win an election with three of six votes, as the loss of voter 6 is proven."""
         requests = self.run_until(Role.PRE_CANDIDATE)
@@ -218,6 +229,36 @@
         self.assertIs(self.replica.role, Role.PRE_CANDIDATE)
 
 
+class SilentVoterTests(CandidateCase):
+    """A new leader goes on counting how long a voter has been silent.
+
+    Each election gave a dead voter its time anew, and the leader that followed removed
+    any voter that was silent to it, such as one with a slow disk, in its place.
+    """
+
+    def receive_heartbeat(self, at_ms, silent_members):
+        self.now_ms = at_ms
+        request = AppendRequest(2, 1, 2, 5, 2, 5, 1, [], Address("a2"), silent_members)
+        self.replica.step(request, at_ms)
+
+    def test_the_voter_that_was_silent_to_the_leader_before_is_removed_first(self):
+        self.receive_heartbeat(0, [5])
+        self.receive_heartbeat(300, [5])
+        for role in (Role.PRE_CANDIDATE, Role.CANDIDATE):
+            self.grant(self.run_until(role), 3, 4, 6)
+        self.acknowledge(3, 4, 6)
+        self.replica.tick(self.now_ms)
+        self.assertEqual(self.replica.membership.voters, {1, 2, 3, 4, 6})
+
+    def test_a_voter_that_has_voted_is_not_silent(self):
+        self.receive_heartbeat(0, [5])
+        for role in (Role.PRE_CANDIDATE, Role.CANDIDATE):
+            self.grant(self.run_until(role), 3, 4, 5)
+        self.acknowledge(3, 4, 5)
+        self.replica.tick(self.now_ms)
+        self.assertIn(5, self.replica.membership.voters)
+
+
 class EmptyReplicaTests(unittest.TestCase):
     """A replica without state answers what is meant for its address's previous one."""
 
@@ -258,15 +299,6 @@
         self.replica.remove_member(6)
         self.removal_index = self.replica.log.last_index
 
-    def acknowledge(self, *voters):
-        """Let the replica's disk and some voters hold the whole log."""
-        core = self.replica
-        core.take_output()
-        core.record_persisted(core.log.last_index, core.log.last_term)
-        for voter in voters:
-            reply = AppendReply(voter, 1, core.term, True, core.log.last_index, 1, True)
-            core.step(reply, self.now_ms)
-
     def test_a_majority_of_the_new_membership_commits_nothing(self):
         self.acknowledge(2, 3)
         self.assertLess(self.replica.commit_index, self.removal_index)
