replication: a replica that stops gives up a vote that can be spared

Callers saw: three machines, one loss tolerated. A machine is replaced, its successor first, with SIGTERM, and another one goes at that moment without notice: two of four voters are left, and nothing proves a loss.

Cause: the stopping process hands over its leadership, not its vote, although it knows that it stops.

Change: before it stops, a replica says so in its replies while the group has spare voters, and the leader removes it at once, with its own vote still there. It waits a second at most. A replica that is only restarted joins again; without spare voters it keeps its vote.

Ruled out: telling two of four that are left from two cut off without such word. Both halves could hold that the others are gone.

Before: three of LeavingTests fail without the rule.

--- a/src/cinderway/control/_catalog_daemon.py
+++ b/src/cinderway/control/_catalog_daemon.py
@@ -57,7 +57,10 @@
 
 
 async def run_catalog_control(settings: CatalogControlSettings) -> None:
-    """Run one replica until it is told to stop; it transfers leadership before."""
+    """Run one replica until it is told to stop.
+
+    Before it stops, it transfers its leadership and gives up a vote that can be spared.
+    """
     configure_logging(settings.log_format, settings.log_level)
     log_startup(logger, "catalog control", settings.listen)
     identity = Identity(f"{GROUP}@{settings.listen}", settings.shared_key)
@@ -108,6 +111,7 @@
         await wait_for_stop()
         logger.info("stopping")
         await node.transfer_leadership()
+        await node.leave()
         tasks.cancel_scope.cancel()
     folder.close()
     logger.info("stopped")
--- a/src/cinderway/replication/_core.py
+++ b/src/cinderway/replication/_core.py
@@ -150,6 +150,8 @@
         elsewhere only operators remove members. It may know itself as a learner still,
         which requests no votes.
         """
+        if self.is_leaving:
+            return False
         if not self.membership.members:
             return True
         if self._target_voters == 0 or self.replica_id in self.membership.voters:
@@ -200,6 +202,15 @@
         """Transfer leadership to the most up-to-date follower, before shutting down."""
         self._transfer.start()
 
+    def leave(self) -> bool:
+        """Give up the vote, before shutting down, while there are spare voters.
+
+        Return whether this replica still has a vote that it can give up.
+        """
+        self.is_leaving = True
+        voters = self.membership.voters
+        return self.replica_id in voters and 0 < self._target_voters < len(voters)
+
     def record_persisted(self, index: int, term: int) -> None:
         """Record that the driver has made the log durable up to an entry.
 
--- a/src/cinderway/replication/_follower_log.py
+++ b/src/cinderway/replication/_follower_log.py
@@ -97,6 +97,7 @@
             match_index=match_index,
             round=request.round,
             supports_proven_losses=True,
+            is_leaving=state.is_leaving,
         )
         state.send_to_address(request.sender_address, reply)
 
@@ -117,5 +118,6 @@
             match_index=min(snapshot.index, state.commit_index),
             round=0,
             supports_proven_losses=True,
+            is_leaving=state.is_leaving,
         )
         state.send_to_address(request.sender_address, reply)
--- a/src/cinderway/replication/_leader_log.py
+++ b/src/cinderway/replication/_leader_log.py
@@ -156,6 +156,7 @@
             return
         progress.last_heard_ms = state.now_ms
         progress.supports_proven_losses = reply.supports_proven_losses
+        progress.is_leaving = reply.is_leaving
         progress.round = max(progress.round, reply.round)
         if reply.is_match:
             progress.match_index = max(progress.match_index, reply.match_index)
--- a/src/cinderway/replication/_member_changes.py
+++ b/src/cinderway/replication/_member_changes.py
@@ -139,17 +139,21 @@
         return not (has_spare_voters(current) or has_spare_voters(previous))
 
     def _without_replaced_voter(self, target_voters: int) -> Membership | None:
-        """Return the membership without a silent voter that was replaced, if any.
+        """Return the membership without a voter that was replaced, if any.
 
         This applies only while there are more voters than wanted: a silent voter that
         has not been replaced keeps its vote. One that was not gone for good joins again
         by itself.
         """
         state = self._state
-        if not 0 < target_voters < len(state.membership.voters):
+        voters = state.membership.voters
+        if not 0 < target_voters < len(voters):
             return None
+        leaving = [voter for voter in voters if state.progress[voter].is_leaving]
+        if leaving:
+            return state.membership.without(leaving[0])
         oldest_ms = state.now_ms - state.timing.quorum_contact_timeout_ms
-        silent = state.membership.voters.intersection(state.silent_since(oldest_ms))
+        silent = voters.intersection(state.silent_since(oldest_ms))
         if not silent:
             return None
         longest_silent = min(
--- a/src/cinderway/replication/_messages.py
+++ b/src/cinderway/replication/_messages.py
@@ -161,6 +161,8 @@
     round: int
     # False in replies of builds without such quorums.
     supports_proven_losses: bool = False
+    # Whether the sender is about to stop and gives up its vote if it can be spared.
+    is_leaving: bool = False
 
 
 class SnapshotRequest(Message, frozen=True):
--- a/src/cinderway/replication/_node.py
+++ b/src/cinderway/replication/_node.py
@@ -29,6 +29,7 @@
 TICK_S = 0.02
 JOIN_INTERVAL_S = 0.3
 TRANSFER_TIMEOUT_S = 1.0
+LEAVE_TIMEOUT_S = 1.0
 # A failed disk write is retried after this delay.
 DISK_RETRY_DELAY_S = 0.2
 # Writing a snapshot is expensive, and the log can go on growing meanwhile, so after a
@@ -240,6 +241,16 @@
                 self._wake.set()
                 await anyio.sleep(TICK_S)
 
+    async def leave(self) -> None:
+        """Give up the vote before a stop, if the group takes it in time.
+
+        A machine that is replaced for good then goes without a vote. One that is only
+        restarted joins again.
+        """
+        with anyio.move_on_after(LEAVE_TIMEOUT_S):
+            while self.core.leave():
+                await anyio.sleep(TICK_S)
+
     # Background tasks.
 
     async def _tick(self) -> None:
--- a/src/cinderway/replication/_progress.py
+++ b/src/cinderway/replication/_progress.py
@@ -24,6 +24,7 @@
     round: int = 0
     snapshot_retry_at_ms: int = 0
     supports_proven_losses: bool | None = None
+    is_leaving: bool = False
 
 
 def next_membership(
--- a/src/cinderway/replication/_state.py
+++ b/src/cinderway/replication/_state.py
@@ -81,6 +81,8 @@
         # votes of its election; used by that election and by the leader it results in.
         self.proven_lost: frozenset[ReplicaId] = NONE_LOST
         self.leader_heard_at_ms: int | None = None
+        # Whether this replica is about to stop, and gives up its vote.
+        self.is_leaving = False
         # Members without contact to the last known leader, or that leader itself, with
         # the time since when this is known. It seeds a new leader's progress.
         self.silent_since_ms: dict[ReplicaId, int] = {}
--- a/src/cinderway/wire/schemas/replication.capnp
+++ b/src/cinderway/wire/schemas/replication.capnp
@@ -64,6 +64,7 @@
   matchIndex @4 :UInt64;
   round @5 :UInt64;
   supportsProvenLosses @6 :Bool;
+  isLeaving @7 :Bool;
 }
 
 struct SnapshotRequest {
--- a/tests/replication/test_quorum.py
+++ b/tests/replication/test_quorum.py
@@ -388,3 +388,66 @@
         self.assertEqual(leader.core.membership.tolerated_losses, 0)
         group.run_for(1_000)
         self.assertEqual(group.find_leader().core.membership.tolerated_losses, 2)
+
+
+class SpareVoterCase(unittest.TestCase):
+    """A group of five voters and a sixth one that is to replace one of them."""
+
+    def setUp(self):
+        self.group = Group(SETUP, 1)
+        self.group.run_for(CATCH_UP_MS)
+        self.machine = list(self.group.machines.values())[-1]
+
+    def add_spare(self):
+        self.group.start(self.group.add_machine())
+        self.group.run_for(CATCH_UP_MS)
+
+    def voters(self):
+        return self.group.find_leader().core.membership.voters
+
+
+class LeavingTests(SpareVoterCase):
+    """A machine that is told to stop gives up a vote that can be spared.
+
+    It kept its vote until it was out of contact. Other machines that go without notice
+    meanwhile leave half of the voters, and nothing that proves a loss.
+    """
+
+    def test_a_replaced_machine_that_is_told_to_stop_goes_without_a_vote(self):
+        self.add_spare()
+        replica_id = self.machine.replica_id
+        self.group.remove(self.machine, with_notice=True)
+        self.group.run_for(300)
+        self.assertIsNone(self.machine.process)
+        self.assertNotIn(replica_id, self.voters())
+
+    def test_machines_may_go_without_notice_right_after_it(self):
+        self.add_spare()
+        others = list(self.group.machines.values())[:2]
+        self.group.remove(self.machine, with_notice=True)
+        self.group.run_for(300)
+        for machine in others:
+            self.group.remove(machine, with_notice=False)
+        gone_at_ms = self.group.now_ms
+        self.assertTrue(
+            self.group.run_until(
+                lambda: (self.group.read_at_ms or 0) > gone_at_ms + 1_000, RECOVERY_MS
+            )
+        )
+
+    def test_a_stop_without_a_spare_voter_keeps_the_vote(self):
+        replica_id = self.machine.replica_id
+        self.group.remove(self.machine, with_notice=True)
+        self.group.run_for(300)
+        self.assertIsNone(self.machine.process)
+        self.assertIn(replica_id, self.voters())
+
+    def test_a_machine_that_is_only_restarted_votes_again(self):
+        self.add_spare()
+        replica_id = self.machine.replica_id
+        self.group.remove(self.machine, with_notice=True)
+        self.group.run_for(300)
+        self.machine.gone_at_ms = None
+        self.group.start(self.machine)
+        self.group.run_for(CATCH_UP_MS)
+        self.assertIn(replica_id, self.voters())
--- a/tests/replication/virtual_group.py
+++ b/tests/replication/virtual_group.py
@@ -25,6 +25,7 @@
 JOIN_INTERVAL_MS = 300
 CLIENT_INTERVAL_MS = 200
 TRANSFER_TIMEOUT_MS = 1_000
+LEAVE_TIMEOUT_MS = 1_000
 # Entries after which a process compacts its log.
 COMPACT_AT_ENTRIES = 60
 CLUSTER_ID = 7
@@ -298,20 +299,26 @@
         machine.gone_at_ms = self.now_ms
         process = machine.process
         if with_notice and process is not None:
-            self._stop(process, self.now_ms + TRANSFER_TIMEOUT_MS)
+            self._transfer(process, self.now_ms + TRANSFER_TIMEOUT_MS)
         else:
             self.kill(machine)
 
-    def _stop(self, process, deadline_ms):
-        if not process.is_alive:
-            return
+    def _transfer(self, process, deadline_ms):
         if not process.core.is_leader or self.now_ms >= deadline_ms:
-            self.kill(process.machine)
+            self._leave(process, self.now_ms + LEAVE_TIMEOUT_MS)
             return
-        if not process.is_frozen:
+        if process.is_running:
             process.core.transfer_leadership()
             process.flush()
-        self.after(TICK_MS, lambda: self._stop(process, deadline_ms))
+        self.after(TICK_MS, lambda: self._transfer(process, deadline_ms))
+
+    def _leave(self, process, deadline_ms):
+        if not process.is_alive:
+            return
+        if not process.core.leave() or self.now_ms >= deadline_ms:
+            self.kill(process.machine)
+            return
+        self.after(TICK_MS, lambda: self._leave(process, deadline_ms))
 
     def find_seeds(self):
         """Return addresses of some machines, as an outdated list has them."""
