replication: a former member's address is told where the group is

Callers saw: a machine whose disk is lost, and that was removed while it was down, starts again and stays outside the group: its contacts, up to three seconds old, are all gone by then. The group has a voter less than wanted.

Cause: a replica without state is found by the messages for its address's previous replica, and a removed member is sent none.

Change: a leader sends a message to the addresses of members removed within the last minute, once a second. A replica without state answers with a request to join; one with state ignores it, as its term is 0.

Before: FormerMemberTests fails.

--- a/src/cinderway/replication/_core.py
+++ b/src/cinderway/replication/_core.py
@@ -129,7 +129,10 @@
         match message:
             case VoteRequest(sender_address=address, nonce=nonce):
                 self.send_to_address(address, self.build_join_request(nonce))
-            case AppendRequest(sender_address=address):
+            case (
+                AppendRequest(sender_address=address)
+                | SnapshotRequest(sender_address=address)
+            ):
                 self.send_to_address(address, self.build_join_request())
 
     def build_join_request(self, answered_nonce: int = 0) -> JoinRequest:
@@ -248,6 +251,8 @@
         self._transfer.abandon_if_expired()
         self._leader_log.send_heartbeat()
         self._member_changes.advance(self._target_voters)
+        if self._target_voters > 0:
+            self._member_changes.contact_former_members()
 
     def _become_follower(self, term: int) -> None:
         self.role = Role.FOLLOWER
--- a/src/cinderway/replication/_member_changes.py
+++ b/src/cinderway/replication/_member_changes.py
@@ -6,9 +6,11 @@
 from cinderway._ids import NO_REPLICA, Address, ReplicaId
 from cinderway.replication._leader_log import LeaderLog
 from cinderway.replication._messages import (
+    EMPTY_SNAPSHOT,
     EntryKind,
     JoinRequest,
     Membership,
+    SnapshotRequest,
     VoteRequest,
 )
 from cinderway.replication._progress import next_membership
@@ -17,6 +19,10 @@
 
 # A learner this close to the end of the leader's log catches up with one message.
 CAUGHT_UP_ENTRIES = 64
+# A machine that starts later than this after its removal has contacts that were up to
+# date by then.
+FORMER_MEMBER_TIME_MS = 60_000
+FORMER_CONTACT_INTERVAL_MS = 1_000
 
 
 class MemberChanges:
@@ -29,6 +35,7 @@
         self._state = state
         self._leader_log = leader_log
         self._joining: dict[ReplicaId, Address] = {}
+        self._next_former_contact_at_ms = state.now_ms
 
     def clear_joining(self) -> None:
         """Discard pending join requests; the replicas will ask the next leader."""
@@ -161,6 +168,31 @@
         )
         return state.membership.without(longest_silent)
 
+    def contact_former_members(self) -> None:
+        """Let replicas at former members' addresses know where the group is.
+
+        One that has lost its disk may have been started with contacts that are all
+        gone. It answers with a request to join; a replica with state ignores term 0.
+        """
+        state = self._state
+        if state.now_ms < self._next_former_contact_at_ms:
+            return
+        self._next_former_contact_at_ms = state.now_ms + FORMER_CONTACT_INTERVAL_MS
+        oldest_ms = state.now_ms - FORMER_MEMBER_TIME_MS
+        known = {member.address for member in state.membership.members.values()}
+        for replica_id, former in list(state.former_members.items()):
+            if former.removed_at_ms < oldest_ms or former.address in known:
+                del state.former_members[replica_id]
+                continue
+            message = SnapshotRequest(
+                sender=state.replica_id,
+                target=replica_id,
+                term=0,
+                snapshot=EMPTY_SNAPSHOT,
+                sender_address=state.address,
+            )
+            state.send_to_address(former.address, message)
+
     def _can_change(self) -> bool:
         state = self._state
         # Only one change may be uncommitted at a time, and the leader must have
--- a/src/cinderway/replication/_state.py
+++ b/src/cinderway/replication/_state.py
@@ -57,6 +57,14 @@
     quorum_contact_timeout_ms: int = 800
 
 
+@dataclass(frozen=True)
+class FormerMember:
+    """The address of a replica that was removed from the group, and when it was."""
+
+    address: Address
+    removed_at_ms: int
+
+
 class ReplicaState:
     """The state of one replica, and the changes that several parts make to it."""
 
@@ -83,6 +91,8 @@
         self.leader_heard_at_ms: int | None = None
         # Whether this replica is about to stop, and gives up its vote.
         self.is_leaving = False
+        # Members that were removed since this process started, with the time.
+        self.former_members: dict[ReplicaId, FormerMember] = {}
         # Members without contact to the last known leader, or that leader itself, with
         # the time since when this is known. It seeds a new leader's progress.
         self.silent_since_ms: dict[ReplicaId, int] = {}
@@ -216,7 +226,12 @@
         if not entries:
             return
         self.persisted_index = min(self.persisted_index, entries[0].index - 1)
+        members = self.membership.members
         self.log.append(entries)
+        for replica_id in members.keys() - self.membership.members.keys():
+            self.former_members[replica_id] = FormerMember(
+                members[replica_id].address, self.now_ms
+            )
         pending = self.output.entries
         while pending and pending[-1].index >= entries[0].index:
             pending.pop()
--- a/tests/replication/test_quorum.py
+++ b/tests/replication/test_quorum.py
@@ -451,3 +451,21 @@
         self.group.start(self.machine)
         self.group.run_for(CATCH_UP_MS)
         self.assertIn(replica_id, self.voters())
+
+
+class FormerMemberTests(SpareVoterCase):
+    """A machine that was removed while it was silent starts again with an empty disk.
+
+    Messages for its previous replica told it where the group is, but a removed member
+    is sent none. With contacts that are all gone it never joined.
+    """
+
+    def test_a_replica_at_a_former_members_address_is_found(self):
+        self.add_spare()
+        self.group.lose_disk(self.machine)
+        self.group.run_for(1_500)
+        self.assertEqual(len(self.voters()), 5)
+        self.group.find_seeds = list
+        self.group.start(self.machine)
+        self.group.run_for(CATCH_UP_MS)
+        self.assertIn(self.machine.replica_id, self.voters())
