--- a/src/cinderway/replication/_node.py
+++ b/src/cinderway/replication/_node.py
@@ -414,11 +414,15 @@
             return
         if self.core.is_leader:
             self.counters.elections_won += 1
+        proven_lost = ", ".join(f"{voter:x}" for voter in sorted(self.core.proven_lost))
         logger.info(
-            "replica %x became %s in term %d",
+            "replica %x became %s in term %d%s",
             self.core.replica_id,
             self.core.role.value,
             self.core.term,
+            f" without voters whose disks are lost: {proven_lost}"
+            if proven_lost
+            else "",
         )
         self._last_role = self.core.role
 
