tools, tests: guards for the new rules; the returning identity's test reaches its state again

IdentityReplacementTest passed without its rule since a join request counts only once the leader is out of contact with the member: the leader, cut off from the other one, stepped down first. The member is now gone for a second before the cut, so that the rule decides again: without it the test fails (two entries at one index), as before.

--- a/tests/replication/test_group_safety.py
+++ b/tests/replication/test_group_safety.py
@@ -211,6 +211,9 @@
         leader = self.leader()
         lost, behind = self.others(leader)
         old_id, old_disk = lost.replica_id, lost.disk
+        # A leader replaces a member only once it is out of contact with it.
+        self.cluster.kill(int(lost.address[1:]), written=True)
+        self.run_with_commands(1_000)
         self.cut(leader, behind)
         self.cut(lost, behind)
         self.cluster.lose_disk(int(lost.address[1:]))
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -57,6 +57,11 @@
 CORE_TESTS = "tests.replication.test_core"
 SAFETY_TESTS = "tests.replication.test_group_safety"
 COMMIT_TESTS = "tests.replication.test_commit_safety"
+QUORUM_TESTS = "tests.replication.test_quorum"
+LOSS_TESTS = "tests.replication.test_losses.LossesTest"
+WRITE_TESTS = "tests.replication.test_interrupted_writes"
+QUORUM = "replication/_quorum.py"
+STORAGE = "replication/_storage.py"
 PUSHBACK_TESTS = "tests.entry.servers.test_pushback"
 RELAY_TESTS = "tests.entry.servers.test_relays"
 LIMIT_TESTS = "tests.entry.servers.test_limits"
@@ -99,10 +104,183 @@
         "            pass\n",
         "tests.entry.fleet.test_retry_at_replica_change",
     ),
+    Guard(
+        "a former member's vote request lets it join again",
+        CORE,
+        "                self._member_changes.receive_vote_request("
+        "message, self._target_voters)\n",
+        "",
+        f"{CORE_TESTS}.ReplacementTest",
+    ),
+    Guard(
+        "a silent voter joins again in series of losses",
+        CORE,
+        "                self._member_changes.receive_vote_request("
+        "message, self._target_voters)\n",
+        "",
+        f"{LOSS_TESTS}.test_five_machines_of_which_two_may_be_lost",
+    ),
+    Guard(
+        "a replica that knows itself as a learner asks to join",
+        CORE,
+        "if self._target_voters == 0 or self.replica_id in self.membership.voters:",
+        "if self._target_voters == 0 or self.replica_id in self.membership.members:",
+        f"{CORE_TESTS}.ReplacementTest",
+    ),
+    Guard(
+        "a voter whose loss is proven is not waited for",
+        QUORUM,
+        "    return needed - min(len(membership.voters & lost), max_reduction)\n",
+        "    return needed\n",
+        f"{QUORUM_TESTS}.ReplacedVoterTests",
+    ),
+    Guard(
+        "a voter whose loss is proven is not waited for in series of losses",
+        QUORUM,
+        "    return needed - min(len(membership.voters & lost), max_reduction)\n",
+        "    return needed\n",
+        f"{LOSS_TESTS}.test_five_machines_that_are_replaced_in_series",
+    ),
+    Guard(
+        "proven losses leave quorums that overlap",
+        QUORUM,
+        "    return needed - min(len(membership.voters & lost), max_reduction)\n",
+        "    return needed - len(membership.voters & lost)\n",
+        f"{QUORUM_TESTS}.QuorumSizeTests",
+    ),
+    Guard(
+        "entries survive replaced members and lost disks together",
+        QUORUM,
+        "    return max(majority, min(voters - tolerated, 2 * tolerated + 1))\n",
+        "    return majority\n",
+        f"{QUORUM_TESTS}.QuorumSizeTests",
+    ),
+    Guard(
+        "a loss that is proven during an election does not count",
+        ELECTIONS,
+        "        if target is not None and self._state.role is Role.PRE_CANDIDATE:\n"
+        "            self._proven_lost.add(target)\n",
+        "        if target is not None:\n"
+        "            self._proven_lost.add(target)\n"
+        "            self._state.proven_lost |= {target}\n"
+        "            self._count_votes()\n",
+        f"{QUORUM_TESTS}.ProvenLossTests",
+    ),
+    Guard(
+        "an answer to an earlier round of pre-votes proves nothing",
+        ELECTIONS,
+        "        self._votes = {state.replica_id}\n        self._asked = {}\n",
+        "        self._votes = {state.replica_id}\n",
+        f"{QUORUM_TESTS}.ProvenLossTests",
+    ),
+    Guard(
+        "a replica with state proves no loss",
+        CORE,
+        "        if self.membership.members:\n"
+        "            return\n"
+        "        match message:",
+        "        match message:",
+        f"{QUORUM_TESTS}.EmptyReplicaTests",
+    ),
+    Guard(
+        "a removal needs quorums of both memberships until it is committed",
+        "replication/_state.py",
+        "        if has_spare_voters(newest) or has_spare_voters(previous):\n",
+        "        if False:\n",
+        f"{QUORUM_TESTS}.UncommittedRemovalTests",
+    ),
+    Guard(
+        "a removed member counts until its removal is committed",
+        "replication/_leader_log.py",
+        "        for membership in state.memberships_in_force:\n",
+        "        for membership in [state.membership]:\n",
+        f"{QUORUM_TESTS}.UncommittedRemovalTests",
+    ),
+    Guard(
+        "logs show that the membership is committed",
+        MEMBER_CHANGES,
+        "        if previous is None or previous == current:\n",
+        "        if True:\n",
+        f"{QUORUM_TESTS}.ReplacedVoterTests",
+    ),
+    Guard(
+        "a new leader goes on counting how long a voter is silent",
+        "replication/_leader_log.py",
+        "last_heard_ms=state.silent_since_ms.get(replica_id, state.now_ms),",
+        "last_heard_ms=state.now_ms,",
+        f"{QUORUM_TESTS}.SilentVoterTests",
+    ),
+    Guard(
+        "a replica that stops gives up a vote that can be spared",
+        MEMBER_CHANGES,
+        "        if leaving:\n",
+        "        if False:\n",
+        f"{QUORUM_TESTS}.LeavingTests",
+    ),
+    Guard(
+        "a former member's address is told where the group is",
+        CORE,
+        "            self._member_changes.contact_former_members()\n",
+        "            pass\n",
+        f"{QUORUM_TESTS}.FormerMemberTests",
+    ),
+    Guard(
+        "a late join request does not remove a member in contact",
+        MEMBER_CHANGES,
+        "        if self._is_in_contact_at(request.address):\n",
+        "        if False:\n",
+        f"{QUORUM_TESTS}.LateJoinRequestTests",
+    ),
+    Guard(
+        "proven losses count only once all voters support them",
+        MEMBER_CHANGES,
+        "        if target_voters == 0 or False in support:\n",
+        "        if target_voters == 0:\n",
+        f"{QUORUM_TESTS}.MixedBuildTests",
+    ),
+    Guard(
+        "an interrupted first start is begun anew",
+        STORAGE,
+        "                if is_complete and records in (EMPTY_WAL, BOOTSTRAP_WAL):\n"
+        "                    return\n",
+        "",
+        f"{WRITE_TESTS}.FirstStartTests",
+    ),
+    Guard(
+        "an interrupted bootstrap is completed at any later start",
+        "control/_catalog_daemon.py",
+        "    if (is_first and folder.is_new) or folder.is_bootstrap_interrupted:\n",
+        "    if is_first and folder.is_new:\n",
+        f"{WRITE_TESTS}.FirstStartTests",
+    ),
+    Guard(
+        "a used folder without its identity is refused",
+        STORAGE,
+        "            self._check_never_used()\n",
+        "",
+        f"{WRITE_TESTS}.DamageTests",
+    ),
+    Guard(
+        "no batch is durable before the name of its log is",
+        STORAGE,
+        "        if not self._is_rename_synced:\n            self._sync_folder()\n",
+        "",
+        f"{WRITE_TESTS}.FailedSyncTests",
+    ),
+    Guard(
+        "a partial record is truncated before the next one",
+        STORAGE,
+        "        if self._has_failed_write:\n"
+        "            os.ftruncate(self._wal, self.wal_bytes)\n",
+        "",
+        f"{WRITE_TESTS}.FailedSyncTests",
+    ),
     Guard(
         "a replica drops messages for its previous identity",
         CORE,
-        "        if message.target != self.replica_id:\n            return\n",
+        "        if message.target != self.replica_id:\n"
+        "            self._answer_for_previous_identity(message)\n"
+        "            return\n",
         "",
         f"{SAFETY_TESTS}.PreviousIdentityTest",
     ),
@@ -140,8 +318,7 @@
     Guard(
         "a read waits for confirmation by a quorum",
         "replication/_reads.py",
-        "        confirmed = quorum_value(self._state.membership.voters, "
-        "self._round_of)\n",
+        "        confirmed = self._state.reached_by_quorum(self._round_of)\n",
         "        confirmed = self.round\n",
         f"{SAFETY_TESTS}.ReadConfirmationTest",
     ),
