--- a/tests/replication/test_losses.py
+++ b/tests/replication/test_losses.py
@@ -106,3 +106,8 @@
 
     def test_machines_that_are_silent_while_disks_are_lost(self):
         self.check(Setup(5, 2, SLOW_TIMING), range(20), scope=Scope.OVERLAPPING)
+
+    def test_a_silent_machine_beside_a_replaced_one_and_two_lost_disks(self):
+        """The silent one is removed as if it were the one that is gone."""
+        seeds = (30088, 30132, 30141)
+        self.check(Setup(5, 2, SLOW_TIMING), seeds, scope=Scope.OVERLAPPING)
