--- a/tests/replication/test_interrupted_writes.py
+++ b/tests/replication/test_interrupted_writes.py
@@ -413,34 +413,31 @@
         self.addCleanup(folder.close)
         return folder.recover().log.last_index
 
-    def test_batches_after_a_compaction_whose_folder_sync_failed_are_kept(self):
-        """They went to the old log, while a restart read the new one."""
-        sync_folder = self.folder._sync_folder
-        outcomes = iter([True, False])
+    def fail_syncs_of_the_folder(self, *outcomes):
+        """Let the next syncs of the folder fail where the outcome is False."""
+        sync_folder, remaining = self.folder._sync_folder, iter(outcomes)
 
-        def sync_once():
-            if not next(outcomes, True):
+        def sync_or_fail():
+            if not next(remaining, True):
                 raise OSError(errno.EIO, "Input/output error")
             sync_folder()
 
-        with mock.patch.object(self.folder, "_sync_folder", sync_once):
-            with self.assertRaises(OSError):
-                self.folder.replace(snapshot(1), HardState(3, 9), [])
+        return mock.patch.object(self.folder, "_sync_folder", sync_or_fail)
+
+    def compact_without_the_last_sync(self):
+        with self.assertRaises(OSError):
+            self.folder.replace(snapshot(1), HardState(3, 9), [])
+
+    def test_batches_after_a_compaction_whose_folder_sync_failed_are_kept(self):
+        """They went to the old log, while a restart read the new one."""
+        with self.fail_syncs_of_the_folder(True, False):
+            self.compact_without_the_last_sync()
         self.folder.append(None, [entry(2)])
         self.assertEqual(self.recover_last_index(), 2)
 
     def test_no_batch_is_acknowledged_before_the_new_log_has_a_durable_name(self):
-        sync_folder = self.folder._sync_folder
-        outcomes = iter([True, False, False])
-
-        def sync_once():
-            if not next(outcomes, True):
-                raise OSError(errno.EIO, "Input/output error")
-            sync_folder()
-
-        with mock.patch.object(self.folder, "_sync_folder", sync_once):
-            with self.assertRaises(OSError):
-                self.folder.replace(snapshot(1), HardState(3, 9), [])
+        with self.fail_syncs_of_the_folder(True, False, False):
+            self.compact_without_the_last_sync()
             with self.assertRaises(OSError):
                 self.folder.append(None, [entry(2)])
             self.folder.append(None, [entry(2)])
--- a/tests/replication/test_losses.py
+++ b/tests/replication/test_losses.py
@@ -8,19 +8,11 @@
 import random
 import unittest
 
+from cinderway.control._catalog_daemon import TIMING
 from cinderway.replication._core import Timing
 from tests.replication.losses import Kind, Losses, Scope
 from tests.replication.virtual_group import Group, Setup
 
-# The timing of the catalog's control processes.
-SLOW_TIMING = Timing(
-    heartbeat_ms=250,
-    election_min_ms=900,
-    election_max_ms=1_500,
-    quorum_contact_timeout_ms=900,
-    startup_min_ms=80,
-    startup_max_ms=320,
-)
 RECOVERY_MS = 15_000
 FORMATION_MS = 10_000
 MOST_EVENTS = 10
@@ -81,33 +73,33 @@
                 run_series(setup, catch_up_ms, seed, **options)
 
     def test_five_machines_of_which_two_may_be_lost(self):
-        self.check(Setup(5, 2, SLOW_TIMING), range(40))
+        self.check(Setup(5, 2, TIMING), range(40))
 
     def test_five_machines_that_are_replaced_in_series(self):
         kinds = (Kind.REPLACE, Kind.REPLACE_PLANNED)
-        self.check(Setup(5, 2, SLOW_TIMING), range(25), kinds=kinds)
+        self.check(Setup(5, 2, TIMING), range(25), kinds=kinds)
 
     def test_five_machines_that_are_replaced_and_frozen(self):
         kinds = (Kind.REPLACE, Kind.REPLACE_PLANNED, Kind.FREEZE)
-        self.check(Setup(5, 2, SLOW_TIMING), range(25), kinds=kinds)
+        self.check(Setup(5, 2, TIMING), range(25), kinds=kinds)
 
     def test_three_machines_of_which_one_may_be_lost(self):
-        self.check(Setup(3, 1, SLOW_TIMING), range(30))
+        self.check(Setup(3, 1, TIMING), range(30))
 
     def test_seven_machines_of_which_three_may_be_lost(self):
-        self.check(Setup(7, 3, SLOW_TIMING), range(12), catch_up_ms=6_000)
+        self.check(Setup(7, 3, TIMING), range(12), catch_up_ms=6_000)
 
     def test_more_machines_than_the_losses_need(self):
-        self.check(Setup(5, 1, SLOW_TIMING), range(12))
+        self.check(Setup(5, 1, TIMING), range(12))
         self.check(Setup(6, 2, Timing()), range(12))
 
     def test_short_timeouts_and_slow_disks(self):
         self.check(Setup(5, 2, Timing(), sync_ms=20, delay_ms=8), range(20))
 
     def test_machines_that_are_silent_while_disks_are_lost(self):
-        self.check(Setup(5, 2, SLOW_TIMING), range(20), scope=Scope.OVERLAPPING)
+        self.check(Setup(5, 2, TIMING), range(20), scope=Scope.OVERLAPPING)
 
     def test_a_silent_machine_beside_a_replaced_one_and_two_lost_disks(self):
         """The silent one is removed as if it were the one that is gone."""
         seeds = (30088, 30132, 30141)
-        self.check(Setup(5, 2, SLOW_TIMING), seeds, scope=Scope.OVERLAPPING)
+        self.check(Setup(5, 2, TIMING), seeds, scope=Scope.OVERLAPPING)
--- a/tools/play_losses.py
+++ b/tools/play_losses.py
@@ -15,7 +15,7 @@
 sys.path.insert(0, str(ROOT))
 
 from tests.replication.losses import Kind, Scope  # noqa: E402
-from tests.replication.test_losses import SLOW_TIMING, run_series  # noqa: E402
+from tests.replication.test_losses import TIMING, run_series  # noqa: E402
 from tests.replication.virtual_group import Setup  # noqa: E402
 
 
@@ -30,7 +30,7 @@
     parser.add_argument("--scope", choices=list(Scope.__members__), default="COUNTED")
     parser.add_argument("--kinds", default=",".join(Kind.__members__))
     options = parser.parse_args()
-    setup = Setup(options.machines, options.tolerated, SLOW_TIMING)
+    setup = Setup(options.machines, options.tolerated, TIMING)
     kinds = tuple(Kind[name] for name in options.kinds.split(","))
     failed = []
     for seed in range(options.first, options.first + options.count):
