replication: a replica that stops stays on while a removal may need its vote

A replaced machine goes without notice; its removal reaches the other logs, the leader goes before it is committed, and a third machine gets SIGTERM.

Cause: by its log, the third one sees no spare voter any more and stops at once. The removal is not committed: its quorum needs four of the old six.

Change: a stopping replica stays on while the last membership in its log is not known to be committed, and waits three seconds in place of one, which is long enough for an election.

--- a/src/cinderway/replication/_core.py
+++ b/src/cinderway/replication/_core.py
@@ -208,11 +208,15 @@
     def leave(self) -> bool:
         """Give up the vote, before shutting down, while there are spare voters.
 
-        Return whether this replica still has a vote that it can give up.
+        Return whether to stay on for it: there is a vote to give up, or a change of the
+        membership that is not known to be committed and may need this vote.
         """
         self.is_leaving = True
         voters = self.membership.voters
-        return self.replica_id in voters and 0 < self._target_voters < len(voters)
+        if self._target_voters == 0 or self.replica_id not in voters:
+            return False
+        is_changing = self.log.membership_index > self.commit_index
+        return is_changing or len(voters) > self._target_voters
 
     def record_persisted(self, index: int, term: int) -> None:
         """Record that the driver has made the log durable up to an entry.
--- a/src/cinderway/replication/_node.py
+++ b/src/cinderway/replication/_node.py
@@ -29,7 +29,8 @@
 TICK_S = 0.02
 JOIN_INTERVAL_S = 0.3
 TRANSFER_TIMEOUT_S = 1.0
-LEAVE_TIMEOUT_S = 1.0
+# Long enough for the election of a leader that takes the vote back.
+LEAVE_TIMEOUT_S = 3.0
 # A failed disk write is retried after this delay.
 DISK_RETRY_DELAY_S = 0.2
 # Writing a snapshot is expensive, and the log can go on growing meanwhile, so after a
--- a/tests/replication/test_quorum.py
+++ b/tests/replication/test_quorum.py
@@ -516,6 +516,25 @@
             )
         )
 
+    def test_a_machine_stays_on_while_a_removal_may_need_its_vote(self):
+        """Its log has the removal already, and with it no spare voter."""
+        self.add_spare()
+        self.group.remove(self.machine, with_notice=False)
+        while len(self.voters()) == 6:
+            self.group.run_for(1)
+        # The other logs have the removal now, and the leader no answer yet.
+        self.group.run_for(SETUP.delay_ms + 1)
+        self.group.remove(self.group.find_leader().machine, with_notice=False)
+        self.group.run_for(100)
+        others = [m for m in self.group.machines.values() if not m.is_gone]
+        self.group.remove(others[0], with_notice=True)
+        gone_at_ms = self.group.now_ms
+        self.assertTrue(
+            self.group.run_until(
+                lambda: (self.group.read_at_ms or 0) > gone_at_ms + 5_000, RECOVERY_MS
+            )
+        )
+
     def test_a_stop_without_a_spare_voter_keeps_the_vote(self):
         replica_id = self.machine.replica_id
         self.group.remove(self.machine, with_notice=True)
