tests: a new leader counts a removed voter that voted for it

The guard on it was green since removed members are dropped later; the state that it is for is a leader elected with the vote of a member whose removal it has in its log. Without the rule the new test fails.

--- a/tests/replication/test_quorum.py
+++ b/tests/replication/test_quorum.py
@@ -311,6 +311,33 @@
         self.acknowledge(2, 3, 6)
         self.assertEqual(self.replica.commit_index, self.removal_index)
 
+    def test_a_new_leader_counts_the_removed_voter_that_voted_for_it(self):
+        """It was elected with that vote, and could commit nothing without it."""
+        self.replica.step(self.append_removal_again(), self.now_ms)
+        self.assertFalse(self.replica.is_leader)
+        for role in (Role.PRE_CANDIDATE, Role.CANDIDATE):
+            self.grant(self.run_until(role), 2, 3, 6)
+        self.assertTrue(self.replica.is_leader)
+        self.acknowledge(2, 3, 6)
+        self.assertGreater(self.replica.commit_index, self.removal_index)
+
+    def append_removal_again(self):
+        """Return a later leader's message with the removal that this replica made."""
+        core = self.replica
+        removal = core.log.entries_from(self.removal_index)[0]
+        previous = self.removal_index - 1
+        return AppendRequest(
+            sender=2,
+            target=1,
+            term=core.term + 1,
+            previous_index=previous,
+            previous_term=core.log.term_at(previous),
+            commit_index=previous,
+            round=1,
+            entries=[removal],
+            sender_address=Address("a2"),
+        )
+
     def test_the_removed_voter_is_dropped_once_logs_show_the_commit(self):
         self.acknowledge(2, 3, 4)
         self.assertIn(6, self.replica.progress)
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -190,7 +190,7 @@
         f"{QUORUM_TESTS}.UncommittedRemovalTests",
     ),
     Guard(
-        "a removed member counts until its removal is committed",
+        "a new leader counts a removed member until its removal is committed",
         "replication/_leader_log.py",
         "        for membership in state.memberships_in_force:\n",
         "        for membership in [state.membership]:\n",
