Review: case 5, an acknowledged config is lost beside a freeze

A core machine is replaced as planned while another one is frozen for 5 s. The frozen one loses its vote to the new machine, and the replaced one goes with its vote. When two disks are then lost, as many as are tolerated, all machines come back and no leader is elected any more: the acknowledged config is not read back and no order is taken.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# A core machine is replaced as planned while another one is frozen; then two disks are
+# lost. TROUBLE=0: nothing of it. TROUBLE=2: all but the freeze.
+cd "$(dirname "$0")" || exit 2
+exec python3 case.py
