Review: the cases name their record.txt, and end within 110 s

Each script now says itself which file it writes; before, the shared stand-ins chose the name. The checks are unchanged.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -12,7 +12,15 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "lib2"))
 
-from fleet2 import BOUNDS, Fleet, Record, build_route, build_sheet, call_any
+from fleet2 import (
+    BOUNDS,
+    RUN_LIMIT_S,
+    Fleet,
+    Record,
+    build_route,
+    build_sheet,
+    call_any,
+)
 
 # 0: none of the disruptions. 2: all but the freeze, to show that it takes this one.
 TROUBLE = os.environ.get("TROUBLE", "1")
@@ -109,11 +117,12 @@
 
 async def main():
     """Run the case with a fleet of its own."""
-    record = Record(Path(__file__).resolve().parent)
+    record = Record(Path(__file__).resolve().parent / "record.txt")
     record.say(f"trouble: {TROUBLE}")
     fleet = Fleet(record, controls=5, entries=0, tolerated=2)
     try:
-        return await run(record, fleet)
+        async with asyncio.timeout(RUN_LIMIT_S):
+            return await run(record, fleet)
     finally:
         fleet.stop()
 
--- a/review/lib2/fleet2.py
+++ b/review/lib2/fleet2.py
@@ -22,6 +22,8 @@
 DEPLOY = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
 PORT_FIRST, PORT_LAST = 17_540, 17_555
 CONTROL_PORT, FRONT_PORT, READY_PORT = 18_544, 18_548, 18_542
+# A run that takes longer is broken off.
+RUN_LIMIT_S = 110
 HALLS = ("hall-a", "hall-b", "hall-c")
 BOUNDS = {
     "contactMs": 3000,
@@ -36,10 +38,10 @@
 
 
 class Record:
-    """Writes what happened to `record.txt`, with the seconds since the start."""
+    """Writes to a file what happened, with the seconds since the start."""
 
-    def __init__(self, folder):
-        self._file = open(Path(folder) / "record.txt", "w", encoding="utf-8")
+    def __init__(self, path):
+        self._file = open(path, "w", encoding="utf-8")
         self._start = time.monotonic()
 
     def write(self, text):
