--- a/tests/replication/losses.py
+++ b/tests/replication/losses.py
@@ -199,7 +199,7 @@
     def _lose_disk(self, machine, longest_ms):
         if machine.is_gone:
             return
-        duration_ms = self.rng.randrange(300, longest_ms)
+        duration_ms = self.rng.randrange(300, max(longest_ms, 301))
         self._lose(machine, duration_ms)
         self._disk_lost_until_ms[machine.address] = self._lost_until_ms[machine.address]
         self.group.lose_disk(machine)
