replication: a voter removed for its silence may not be the one that is gone

Cause: of six voters the leader removes the one that is silent, taking it for the replaced one. The replaced one is then the fifth of five: it has no vote to spare, goes with it, and four present voters of five don't survive two lost disks. SilentVoterRemovedFirstTests fails before (5 of 6; all but the voter that returns).

Change: proven losses count wherever |lost| < 2c - n holds, so that four voters need three votes, or two with one proof; and until a voter that was removed while it was silent votes again, a group of the wanted size removes one more voter that leaves or is silent. Entries stay on one voter more than disks may be lost. Both need that all voters know the rule (`counts_all_proofs`); a learner that does not ends it before it votes.

--- a/src/cinderway/replication/_core.py
+++ b/src/cinderway/replication/_core.py
@@ -214,9 +214,9 @@
         self.is_leaving = True
         if self._target_voters == 0:
             return False
-        voters = self.membership.voters
-        has_spare_vote = self.replica_id in voters and (
-            len(voters) > self._target_voters
+        has_spare_vote = (
+            self.replica_id in self.membership.voters
+            and self.can_spare_voter(self._target_voters)
         )
         return has_spare_vote or not self.is_membership_settled
 
--- a/src/cinderway/replication/_follower_log.py
+++ b/src/cinderway/replication/_follower_log.py
@@ -98,6 +98,7 @@
             round=request.round,
             supports_proven_losses=True,
             is_leaving=state.is_leaving,
+            supports_all_proofs=True,
         )
         state.send_to_address(request.sender_address, reply)
 
@@ -119,5 +120,6 @@
             round=0,
             supports_proven_losses=True,
             is_leaving=state.is_leaving,
+            supports_all_proofs=True,
         )
         state.send_to_address(request.sender_address, reply)
--- a/src/cinderway/replication/_leader_log.py
+++ b/src/cinderway/replication/_leader_log.py
@@ -158,6 +158,7 @@
             return
         progress.last_heard_ms = state.now_ms
         progress.supports_proven_losses = reply.supports_proven_losses
+        progress.supports_all_proofs = reply.supports_all_proofs
         progress.is_leaving = reply.is_leaving
         progress.round = max(progress.round, reply.round)
         if reply.is_match:
--- a/src/cinderway/replication/_member_changes.py
+++ b/src/cinderway/replication/_member_changes.py
@@ -1,5 +1,7 @@
 """Single-server membership changes (Ongaro, chapter 4)."""
 
+from typing import NamedTuple, TypeVar
+
 import msgspec
 
 from cinderway._errors import CinderwayError, ErrorCode, Step
@@ -13,16 +15,31 @@
     SnapshotRequest,
     VoteRequest,
 )
-from cinderway.replication._progress import find_member_at, next_membership
-from cinderway.replication._state import ReplicaState
+from cinderway.replication._progress import Progress, find_member_at, next_membership
+from cinderway.replication._state import FORMER_MEMBER_TIME_MS, ReplicaState
 
 # A learner this close to the end of the leader's log catches up with one message.
 CAUGHT_UP_ENTRIES = 64
-# A machine that starts later than this after its removal has contacts that were up to
-# date by then.
-FORMER_MEMBER_TIME_MS = 60_000
 FORMER_CONTACT_INTERVAL_MS = 1_000
 
+Rule = TypeVar("Rule", bool, int)
+
+
+class _QuorumRules(NamedTuple):
+    """The rules that all members have to know; those of older builds compare lower."""
+
+    tolerated_losses: int
+    counts_all_proofs: bool
+
+    @staticmethod
+    def of(membership: Membership) -> "_QuorumRules":
+        """Return a membership's rules."""
+        return _QuorumRules(membership.tolerated_losses, membership.counts_all_proofs)
+
+    def apply_to(self, membership: Membership) -> Membership:
+        """Return the membership with these rules."""
+        return msgspec.structs.replace(membership, **self._asdict())
+
 
 class MemberChanges:
     """Adds replicas to the group and removes them; only a leader makes changes.
@@ -121,38 +138,54 @@
             or self._without_replaced_voter(target_voters)
             or current
         )
-        membership = msgspec.structs.replace(
-            membership,
-            tolerated_losses=self._choose_tolerated_losses(membership, target_voters),
-        )
+        rules = self._choose_quorum_rules(membership, target_voters)
+        if rules < _QuorumRules.of(current):
+            # Whoever does not know the rules in force must not vote beside them.
+            membership = current
+        membership = rules.apply_to(membership)
         if membership != current or not self._state.is_commit_logged:
             self._apply_membership(membership)
 
-    def _choose_tolerated_losses(
+    def _choose_quorum_rules(
         self, membership: Membership, target_voters: int
-    ) -> int:
-        """Return the losses to tolerate; 0 while a voter does not know such quorums."""
+    ) -> "_QuorumRules":
+        """Return the quorum rules that all members of a membership support."""
+        current = _QuorumRules.of(self._state.membership)
+        members = self._find_answering_members(membership)
+        tolerated_losses = _choose_rule(
+            (target_voters - 1) // 2 if target_voters else 0,
+            current.tolerated_losses,
+            {member.supports_proven_losses for member in members},
+        )
+        counts_all_proofs = _choose_rule(
+            tolerated_losses > 0,
+            current.counts_all_proofs,
+            {member.supports_all_proofs for member in members},
+        )
+        return _QuorumRules(tolerated_losses, counts_all_proofs)
+
+    def _find_answering_members(self, membership: Membership) -> list[Progress]:
+        """Return the progress of other voters, and of learners that have answered."""
         state = self._state
-        support = {
-            state.progress[voter].supports_proven_losses
-            for voter in membership.voters - {state.replica_id}
-        }
-        if target_voters == 0 or False in support:
-            return 0
-        if None in support:
-            return state.membership.tolerated_losses
-        return (target_voters - 1) // 2
+        return [
+            state.progress[replica_id]
+            for replica_id, member in membership.members.items()
+            if replica_id in state.progress.keys() - {state.replica_id}
+            and (
+                member.is_voter
+                or state.progress[replica_id].supports_all_proofs is not None
+            )
+        ]
 
     def _without_replaced_voter(self, target_voters: int) -> Membership | None:
         """Return the membership without a voter that was replaced, if any.
 
-        This applies only while there are more voters than wanted: a silent voter that
-        has not been replaced keeps its vote. One that was not gone for good joins again
-        by itself.
+        This applies only while a voter can be spared: a silent voter that has not been
+        replaced keeps its vote. One that was not gone for good joins again by itself.
         """
         state = self._state
         voters = state.membership.voters
-        if not 0 < target_voters < len(voters):
+        if not state.can_spare_voter(target_voters):
             return None
         leaving = [voter for voter in voters if state.progress[voter].is_leaving]
         if leaving:
@@ -179,9 +212,11 @@
         oldest_ms = state.now_ms - FORMER_MEMBER_TIME_MS
         known = {member.address for member in state.membership.members.values()}
         for replica_id, former in list(state.former_members.items()):
-            if former.removed_at_ms < oldest_ms or former.address in known:
+            if former.removed_at_ms < oldest_ms:
                 del state.former_members[replica_id]
                 continue
+            if former.address in known:
+                continue
             message = SnapshotRequest(
                 sender=state.replica_id,
                 target=replica_id,
@@ -223,5 +258,12 @@
         self._leader_log.broadcast()
 
 
+def _choose_rule(wanted: Rule, current: Rule, support: set[bool | None]) -> Rule:
+    """Return what a quorum rule is to be, given which members support it."""
+    if False in support:
+        return type(wanted)()
+    return current if None in support else wanted
+
+
 def _refused_error(detail: str) -> CinderwayError:
     return CinderwayError(ErrorCode.MEMBERSHIP_REFUSED, detail, step=Step.PROPOSE)
--- a/src/cinderway/replication/_messages.py
+++ b/src/cinderway/replication/_messages.py
@@ -39,11 +39,14 @@
     `tolerated_losses` is the number of disks that may be lost at once while members are
     replaced, which sets the quorums; 0 stands for plain majorities. It is 0 as long as
     a voter does not know these quorums, and in logs of builds that did not.
+    `counts_all_proofs` tells whether proven losses count without spare voters, too; it
+    is false under the same conditions.
     """
 
     cluster_id: int
     members: dict[ReplicaId, Member]
     tolerated_losses: int = 0
+    counts_all_proofs: bool = False
 
     @property
     def voters(self) -> frozenset[ReplicaId]:
@@ -163,6 +166,8 @@
     supports_proven_losses: bool = False
     # Whether the sender is about to stop and gives up its vote if it can be spared.
     is_leaving: bool = False
+    # False in replies of builds that count proofs only if there are spare voters.
+    supports_all_proofs: bool = False
 
 
 class SnapshotRequest(Message, frozen=True):
--- a/src/cinderway/replication/_progress.py
+++ b/src/cinderway/replication/_progress.py
@@ -14,7 +14,8 @@
     `joined_at_index` is the index of the membership entry that added the member. A
     learner below it has not even received that entry, so it has not caught up, however
     short the log is. `round` is the latest broadcast round that the member answered.
-    `supports_proven_losses` is None until the member has answered this leader.
+    `supports_proven_losses` and `supports_all_proofs` are None until the member has
+    answered this leader.
     """
 
     next_index: int
@@ -24,6 +25,7 @@
     round: int = 0
     snapshot_retry_at_ms: int = 0
     supports_proven_losses: bool | None = None
+    supports_all_proofs: bool | None = None
     is_leaving: bool = False
 
 
--- a/src/cinderway/replication/_quorum.py
+++ b/src/cinderway/replication/_quorum.py
@@ -23,10 +23,22 @@
 NONE_LOST: frozenset[ReplicaId] = frozenset()
 
 
-def has_spare_voters(membership: Membership) -> bool:
-    """Whether members are being replaced: there are more voters than losses need."""
+def counts_proven_losses(membership: Membership) -> bool:
+    """Whether a quorum may do without a voter that is proven to be lost."""
     tolerated = membership.tolerated_losses
-    return tolerated > 0 and len(membership.voters) > 2 * tolerated + 1
+    if tolerated == 0:
+        return False
+    if len(membership.voters) > 2 * tolerated + 1:
+        return True
+    return membership.counts_all_proofs and _max_reduction(membership) > 0
+
+
+def _max_reduction(membership: Membership) -> int:
+    """Return how many proven losses a quorum may do without at most.
+
+    With more of them, two quorums could be disjoint.
+    """
+    return 2 * copies_needed(membership) - len(membership.voters) - 1
 
 
 def copies_needed(membership: Membership) -> int:
@@ -37,19 +49,16 @@
     """
     voters, tolerated = len(membership.voters), membership.tolerated_losses
     majority = voters // 2 + 1
-    if not has_spare_voters(membership):
-        return majority
     return max(majority, min(voters - tolerated, 2 * tolerated + 1))
 
 
 def quorum_size(membership: Membership, lost: Set[ReplicaId] = NONE_LOST) -> int:
     """Return how many voters are a quorum, given the voters proven to be lost."""
     needed = copies_needed(membership)
-    if not has_spare_voters(membership):
+    if not counts_proven_losses(membership):
         return needed
-    # With more proven losses than this, two quorums could be disjoint.
-    max_reduction = 2 * needed - len(membership.voters) - 1
-    return needed - min(len(membership.voters & lost), max_reduction)
+    proven = len(membership.voters & lost)
+    return needed - min(proven, _max_reduction(membership))
 
 
 def is_quorum(
--- a/src/cinderway/replication/_state.py
+++ b/src/cinderway/replication/_state.py
@@ -24,11 +24,15 @@
 from cinderway.replication._progress import Progress
 from cinderway.replication._quorum import (
     NONE_LOST,
-    has_spare_voters,
+    counts_proven_losses,
     is_quorum,
     quorum_value,
 )
 
+# How long a removed member is expected to come back. A machine that starts later than
+# this after its removal has contacts that were up to date by then.
+FORMER_MEMBER_TIME_MS = 60_000
+
 
 class Role(enum.Enum):
     """The current role of a replica."""
@@ -59,10 +63,12 @@
 
 @dataclass(frozen=True)
 class FormerMember:
-    """The address of a replica that was removed from the group, and when it was."""
+    """A replica that was removed from the group: its address, and when it was."""
 
     address: Address
     removed_at_ms: int
+    # Whether the leader had no contact with it: it may be gone, or join again.
+    was_silent: bool
 
 
 class ReplicaState:
@@ -130,7 +136,7 @@
         newest, previous = self.membership, self.log.previous_membership
         if self.log.membership_index <= self.commit_index or previous is None:
             return [newest]
-        if has_spare_voters(newest) or has_spare_voters(previous):
+        if counts_proven_losses(newest) or counts_proven_losses(previous):
             return [previous, newest]
         return [newest]
 
@@ -146,13 +152,15 @@
         newest, previous = self.membership, self.log.previous_membership
         if previous is None or previous == newest:
             return True
-        return not (has_spare_voters(newest) or has_spare_voters(previous))
+        return not (counts_proven_losses(newest) or counts_proven_losses(previous))
 
     @property
     def is_membership_settled(self) -> bool:
         """Whether no replica needs the previous membership to decide."""
         newest, previous = self.membership, self.log.previous_membership
-        if not (has_spare_voters(newest) or has_spare_voters(previous or newest)):
+        if not (
+            counts_proven_losses(newest) or counts_proven_losses(previous or newest)
+        ):
             return True
         return self.is_commit_logged and self.log.membership_index <= self.commit_index
 
@@ -219,6 +227,46 @@
             if replica_id != self.replica_id and progress.last_heard_ms < oldest_ms
         ]
 
+    def _is_silent(self, replica_id: ReplicaId) -> bool:
+        """Whether the leader has no contact with a member, as far as is known here."""
+        if not self.is_leader:
+            return replica_id in self.silent_since_ms
+        oldest_ms = self.now_ms - self.timing.quorum_contact_timeout_ms
+        return replica_id in self.silent_since(oldest_ms)
+
+    def can_spare_voter(self, target_voters: int) -> bool:
+        """Whether the group can do without one of its voters.
+
+        This is so while there are more than wanted. A group of the wanted size may
+        include a voter that is gone in place of a removed one that was only silent;
+        a group that counts all proofs tolerates as much without one more voter.
+        """
+        voters = len(self.membership.voters)
+        if target_voters == 0 or voters < target_voters:
+            return False
+        if voters > target_voters:
+            return True
+        # The spared voter need not be the one that is gone. With one of two voters gone
+        # there would be no quorum, although no disk was lost.
+        is_large_enough = self.membership.tolerated_losses > 1
+        return (
+            is_large_enough
+            and self.membership.counts_all_proofs
+            and self._may_voter_return()
+        )
+
+    def _may_voter_return(self) -> bool:
+        """Whether a voter that was removed while it was silent may vote again."""
+        oldest_ms = self.now_ms - FORMER_MEMBER_TIME_MS
+        members = self.membership.members
+        voting = {members[voter].address for voter in self.membership.voters}
+        return any(
+            former.was_silent
+            and former.removed_at_ms >= oldest_ms
+            and former.address not in voting
+            for former in self.former_members.values()
+        )
+
     def record_leader_commit(self, commit_index: int) -> None:
         """Record a leader's commit index; this replica holds all entries up to it."""
         self.leader_commit_index = commit_index
@@ -252,7 +300,7 @@
         self.log.append(entries)
         for replica_id in members.keys() - self.membership.members.keys():
             self.former_members[replica_id] = FormerMember(
-                members[replica_id].address, self.now_ms
+                members[replica_id].address, self.now_ms, self._is_silent(replica_id)
             )
         pending = self.output.entries
         while pending and pending[-1].index >= entries[0].index:
--- a/src/cinderway/wire/schemas/replication.capnp
+++ b/src/cinderway/wire/schemas/replication.capnp
@@ -65,6 +65,7 @@
   round @5 :UInt64;
   supportsProvenLosses @6 :Bool;
   isLeaving @7 :Bool;
+  supportsAllProofs @8 :Bool;
 }
 
 struct SnapshotRequest {
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -130,22 +130,22 @@
     Guard(
         "a voter whose loss is proven is not waited for",
         QUORUM,
-        "    return needed - min(len(membership.voters & lost), max_reduction)\n",
+        "    return needed - min(proven, _max_reduction(membership))\n",
         "    return needed\n",
         f"{QUORUM_TESTS}.ReplacedVoterTests",
     ),
     Guard(
         "a voter whose loss is proven is not waited for in series of losses",
         QUORUM,
-        "    return needed - min(len(membership.voters & lost), max_reduction)\n",
+        "    return needed - min(proven, _max_reduction(membership))\n",
         "    return needed\n",
         f"{LOSS_TESTS}.test_five_machines_that_are_replaced_in_series",
     ),
     Guard(
         "proven losses leave quorums that overlap",
         QUORUM,
-        "    return needed - min(len(membership.voters & lost), max_reduction)\n",
-        "    return needed - len(membership.voters & lost)\n",
+        "    return needed - min(proven, _max_reduction(membership))\n",
+        "    return needed - proven\n",
         f"{QUORUM_TESTS}.QuorumSizeTests",
     ),
     Guard(
@@ -185,7 +185,7 @@
     Guard(
         "a removal needs quorums of both memberships until it is committed",
         "replication/_state.py",
-        "        if has_spare_voters(newest) or has_spare_voters(previous):\n",
+        "        if counts_proven_losses(newest) or counts_proven_losses(previous):\n",
         "        if False:\n",
         f"{QUORUM_TESTS}.UncommittedRemovalTests",
     ),
@@ -217,6 +217,34 @@
         "        if False:\n",
         f"{QUORUM_TESTS}.LeavingTests",
     ),
+    Guard(
+        "proven losses count in a group with one voter fewer than wanted",
+        QUORUM,
+        "    return membership.counts_all_proofs and _max_reduction(membership) > 0\n",
+        "    return False\n",
+        f"{QUORUM_TESTS}.SilentVoterRemovedFirstTests",
+    ),
+    Guard(
+        "one more voter goes until one removed while it was silent votes again",
+        "replication/_state.py",
+        "            and self._may_voter_return()\n",
+        "            and False\n",
+        f"{QUORUM_TESTS}.SilentVoterRemovedFirstTests",
+    ),
+    Guard(
+        "three voters are never two",
+        "replication/_state.py",
+        "        is_large_enough = self.membership.tolerated_losses > 1\n",
+        "        is_large_enough = True\n",
+        f"{QUORUM_TESTS}.SilentVoterOfThreeTests",
+    ),
+    Guard(
+        "rules end before a learner that does not know them votes",
+        MEMBER_CHANGES,
+        "        if rules < _QuorumRules.of(current):\n",
+        "        if False:\n",
+        f"{QUORUM_TESTS}.MixedBuildTests",
+    ),
     Guard(
         "a former member's address is told where the group is",
         CORE,
@@ -234,8 +262,8 @@
     Guard(
         "proven losses count only once all voters support them",
         MEMBER_CHANGES,
-        "        if target_voters == 0 or False in support:\n",
-        "        if target_voters == 0:\n",
+        "    if False in support:\n        return type(wanted)()\n",
+        "",
         f"{QUORUM_TESTS}.MixedBuildTests",
     ),
     Guard(
