replication: end a round of pre-votes with the last answer

Cause: proofs count only after a whole election timeout (up to 1.5 s) without a full quorum, also where nobody is left that could still answer. Change: the round ends once every voter has voted or is proven to be lost. The proofs still precede the first vote request, which is all that the argument needs. Ruled out: a longer wait of the leaving replica; it would only hide the idle time.

--- a/src/cinderway/replication/_elections.py
+++ b/src/cinderway/replication/_elections.py
@@ -7,6 +7,7 @@
 Pre-vote requests also find out which voters have lost their disks: a replica without
 any state that runs at a voter's address answers in the voter's place. If a whole round
 does not reach a full quorum, the election that follows does not wait for these voters.
+A round is over as soon as every voter has voted or is proven to be lost.
 """
 
 import random
@@ -124,8 +125,7 @@
         self, term: int, *, is_pre_vote: bool, is_transfer: bool = False
     ) -> None:
         state = self._state
-        voters = set[ReplicaId]().union(*(m.voters for m in state.memberships_in_force))
-        for target in voters - {state.replica_id}:
+        for target in self._find_voters() - {state.replica_id}:
             request = VoteRequest(
                 sender=state.replica_id,
                 target=target,
@@ -150,15 +150,30 @@
         target = self._asked.get(request.answered_nonce)
         if target is not None and self._state.role is Role.PRE_CANDIDATE:
             self._proven_lost.add(target)
+            self._end_complete_round()
+
+    def _end_complete_round(self) -> None:
+        """Start an election if every voter has voted or is proven to be lost."""
+        state = self._state
+        is_complete = self._find_voters() <= self._votes | self._proven_lost
+        proven_lost = frozenset(self._proven_lost)
+        if is_complete and state.has_quorum(self._votes, proven_lost):
+            self._start_election(proven_lost)
+
+    def _find_voters(self) -> set[ReplicaId]:
+        """Return the voters of the memberships in force."""
+        memberships = self._state.memberships_in_force
+        return set[ReplicaId]().union(*(m.voters for m in memberships))
 
     def _count_votes(self) -> None:
         state = self._state
-        if not state.has_quorum(self._votes, state.proven_lost):
-            return
-        if state.role is Role.PRE_CANDIDATE:
-            self._start_election(NONE_LOST)
-        elif state.role is Role.CANDIDATE:
-            self._become_leader()
+        if state.has_quorum(self._votes, state.proven_lost):
+            if state.role is Role.PRE_CANDIDATE:
+                self._start_election(NONE_LOST)
+            elif state.role is Role.CANDIDATE:
+                self._become_leader()
+        elif state.role is Role.PRE_CANDIDATE:
+            self._end_complete_round()
 
     def receive_vote_request(self, request: VoteRequest) -> None:
         """Decide on a candidate's request for a vote or pre-vote, and reply."""
--- a/tests/replication/test_quorum.py
+++ b/tests/replication/test_quorum.py
@@ -203,6 +203,17 @@
         self.end_round()
         self.assertIs(self.replica.role, Role.CANDIDATE)
 
+    def test_a_round_ends_once_every_voter_has_voted_or_is_proven_lost(self):
+        """A leaving voter may be gone before a whole election timeout has passed."""
+        requests = self.run_until(Role.PRE_CANDIDATE)
+        self.grant(requests, 2, 3)
+        for voter in (4, 5):
+            self.prove_lost(requests, voter)
+        self.assertIs(self.replica.role, Role.PRE_CANDIDATE)
+        self.prove_lost(requests, 6)
+        self.assertIs(self.replica.role, Role.CANDIDATE)
+        self.assertEqual(self.replica.proven_lost, {4, 5, 6})
+
     def test_a_loss_proven_during_the_election_does_not_count(self):
         """The lost voter may have voted for another candidate of this term before."""
         requests = self.run_until(Role.PRE_CANDIDATE)
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -245,6 +245,13 @@
         "        if False:\n",
         f"{QUORUM_TESTS}.MixedBuildTests",
     ),
+    Guard(
+        "a round of pre-votes ends with the last answer",
+        ELECTIONS,
+        "        if is_complete and state.has_quorum(self._votes, proven_lost):\n",
+        "        if False:\n",
+        f"{QUORUM_TESTS}.ProvenLossTests",
+    ),
     Guard(
         "a former member's address is told where the group is",
         CORE,
