entry: refuse a server's status that cannot be forwarded

Seen by callers: to a request whose server answered with status 600 or 999, the connection was closed without any answer, though the request ran. Cause: h11 accepts statuses up to 999, and uvicorn, which sends the answer on, raises on those above 599. Nothing in between checked them. Change: a final status is 200 to 599; others are an invalid response of the server, also where an older entry relays one. The caller gets 502. test_a_status_that_is_not_final_is_rejected and test_a_status_that_an_older_entry_relays_is_checked failed before (600, 999); test_an_answer_cut_anywhere_is_never_a_success held before, and shows that heads cut in the middle do not become answers.

--- a/src/cinderway/entry/servers/_backends.py
+++ b/src/cinderway/entry/servers/_backends.py
@@ -28,6 +28,7 @@
     BackendAnswer,
     BackendRequest,
     HeaderNames,
+    describe_invalid_status,
 )
 from cinderway.entry.servers._open_stream import open_stream
 from cinderway.entry.servers._socket_state import (
@@ -379,6 +380,15 @@
         finally:
             if response is None:
                 await connection.release(None)
+        reason = describe_invalid_status(response.status)
+        if reason:
+            await connection.release(None)
+            raise CinderwayError(
+                ErrorCode.BACKEND_FAILED,
+                reason,
+                step=Step.AWAIT_ANSWER,
+                peer=connection.address,
+            )
         headers = [(name, value) for name, value in response.headers]
         answer = BackendAnswer(
             response.status, headers, response, connection, self.names
--- a/src/cinderway/entry/servers/_messages.py
+++ b/src/cinderway/entry/servers/_messages.py
@@ -22,6 +22,8 @@
 NOT_RUN = b"not_run"
 MISDIRECTED = 421
 OK = 200
+# RFC 9110, section 15: a final status has the class 2, 3, 4 or 5.
+LAST_STATUS = 599
 MULTIPLE_CHOICES = 300
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 # A connection is no longer used this long before its server may close it.
@@ -56,6 +58,13 @@
 DEFAULT_HEADER_NAMES = HeaderNames()
 
 
+def describe_invalid_status(status: int) -> str:
+    """Return why a response with this status cannot be forwarded; "" if it can."""
+    if OK <= status <= LAST_STATUS:
+        return ""
+    return f"the response has status {status}; {OK} to {LAST_STATUS} are allowed"
+
+
 @dataclass(frozen=True)
 class BackendRequest:
     """A request to a backend server, without the headers that differ by attempt."""
--- a/src/cinderway/entry/servers/_relays.py
+++ b/src/cinderway/entry/servers/_relays.py
@@ -28,6 +28,7 @@
     BackendAnswer,
     BackendRequest,
     HeaderNames,
+    describe_invalid_status,
 )
 from cinderway.entry.servers._notes import OutgoingAttempt
 from cinderway.limits import ConnectTimeout
@@ -212,6 +213,11 @@
             raise self._build_lost_error(error.detail) from error
         if not isinstance(message, RelayedHead | RelayRefused | RelayedFailure):
             raise self._build_lost_error(f"it sent {type(message).__name__}")
+        if isinstance(message, RelayedHead):
+            # Entries of older builds forward any status.
+            reason = describe_invalid_status(message.status)
+            if reason:
+                raise self._build_lost_error(reason)
         return message
 
     def _build_lost_error(self, detail: str) -> RelayError:
--- a/tests/entry/servers/test_backends.py
+++ b/tests/entry/servers/test_backends.py
@@ -155,6 +155,34 @@
         self.assertIs(result.code, ErrorCode.BACKEND_FAILED)
         self.assertIs(result.step, Step.AWAIT_ANSWER)
 
+    def test_a_status_that_is_not_final_is_rejected(self):
+        """A caller got no answer to a request that ran, as 600 cannot be forwarded."""
+        for status in ("000", "099", "0200", "101", "199", "600", "999"):
+            with self.subTest(status):
+                result = ask(Server(answer(status)), "a1")[0]
+                self.assertIsInstance(result, CinderwayError)
+                self.assertIs(result.code, ErrorCode.BACKEND_FAILED)
+                self.assertIs(result.step, Step.AWAIT_ANSWER)
+        self.assertEqual(ask(Server(answer(599)), "a1"), [(599, b"body")])
+
+    def test_an_answer_cut_anywhere_is_never_a_success(self):
+        """Callers must not get a 200 with an empty or partial body that looks whole."""
+        chunked = answer(length=0, headers="transfer-encoding: chunked\r\n").replace(
+            b"content-length: 0\r\n\r\nbody", b"\r\n4\r\nbody\r\n0\r\n\r\n"
+        )
+        until_close = answer(length=0).replace(b"content-length: 0\r\n", b"")
+        head_bytes = until_close.index(b"\r\n\r\n") + 4
+        self.assertEqual(ask(Server(chunked), "a1"), [(200, b"body")])
+        for name, whole, size_bytes in (
+            ("length", answer(), len(answer())),
+            ("chunks", chunked, len(chunked)),
+            ("until close", until_close, head_bytes),
+        ):
+            for end in range(size_bytes):
+                with self.subTest(name, sent=whole[:end]):
+                    result = ask(Server(whole[:end]), "a1")[0]
+                    self.assertIsInstance(result, CinderwayError)
+
     def test_a_lost_connection_is_distinguished_from_an_invalid_response(self):
         ended, cut = (ask(Server(sent), "a1")[0] for sent in (b"", b"HTTP/1.1 2"))
         garbled = ask(Server(b"no answer at all\r\n\r\n"), "a1")[0]
--- a/tests/entry/servers/test_relays.py
+++ b/tests/entry/servers/test_relays.py
@@ -18,7 +18,12 @@
 from cinderway.entry.servers._messages import BackendRequest, HeaderNames
 from cinderway.entry.servers._relays import RelayError, Relays
 from cinderway.judgement import EvidenceLog
-from cinderway.reachability import PeerFailure, RelayedEnd, RelayPeers
+from cinderway.reachability import (
+    PeerFailure,
+    RelayedEnd,
+    RelayedHead,
+    RelayPeers,
+)
 from cinderway.table import ServerRow, ServiceRow
 from cinderway.wire import Identity, serve_connections
 from standins.catalog_fleet import RegisteredServer
@@ -220,6 +225,17 @@
         error = self.get_error(self.asking.send)
         self.assertIs(error.step, Step.AWAIT_ANSWER)
 
+    def test_a_status_that_an_older_entry_relays_is_checked(self):
+        """The caller's connection was closed without an answer."""
+
+        async def relay_any_status(connection, name):
+            await connection.receive()
+            await connection.send(RelayedHead(600, []))
+
+        self.relaying.relay_server._serve = relay_any_status
+        error = self.get_error(self.asking.send)
+        self.assertIs(error.step, Step.AWAIT_ANSWER)
+
     def test_a_stopping_entry_completes_what_it_relays(self):
         """It stops once nothing is in flight, so a relayed request must count."""
         released = threading.Event()
