entry: bound what answers without end take of the memory

Seen by callers: servers that send chunks, or a body until the connection closes, without end took an entry from 60 to 254 MB with two requests, and to 1,157 and 1,657 MB with twelve at once. A platform that gives a process 300 MB ends it, and all its requests. Cause: answers were counted as held and never refused but for 64 MiB each; and the parts of an answer that was given up were kept by its exception until the request ended. Change: an answer over 256 KiB may take half of the room that the others leave; its parts are freed when it is given up. It counts as a failure of the server unless its length was announced. The body of a probe's answer is read up to 1 MiB.

--- a/src/cinderway/_settings/_catalog_roles.py
+++ b/src/cinderway/_settings/_catalog_roles.py
@@ -186,7 +186,8 @@
         integer_parser(1, 65_536),
         "1 to 65536 MiB",
         "Bound on the bodies and answers that this entry holds; beyond it new requests "
-        "are refused, the largest bodies first.",
+        "are refused, the largest bodies first, and answers over half of the room left "
+        "are given up.",
         "48",
     )
     lone_retry_percent: int = setting(
--- a/src/cinderway/entry/callers/_holdings.py
+++ b/src/cinderway/entry/callers/_holdings.py
@@ -33,10 +33,19 @@
             self._reserve(missing_bytes)
 
     def add_answer(self, size_bytes: int) -> None:
-        """Count a part of an answer, which is always read."""
+        """Count a part of an answer."""
         self._answer_bytes += size_bytes
         self._held.add(size_bytes)
 
+    def admits_answer(self, answer_bytes: int) -> bool:
+        """Whether an answer of which so many bytes are counted may be read on."""
+        return self._held.admits_answer(answer_bytes, self._count_unread())
+
+    def remove_answer(self, size_bytes: int) -> None:
+        """Stop counting an answer that was discarded."""
+        self._answer_bytes -= size_bytes
+        self._held.remove(size_bytes)
+
     def release(self) -> None:
         """Release everything at the end of the request."""
         self._held.remove(self._reserved_bytes + self._answer_bytes)
@@ -66,6 +75,13 @@
     def add_answer(self, size_bytes: int) -> None:
         """Count nothing."""
 
+    def admits_answer(self, answer_bytes: int) -> bool:
+        """Admit every answer."""
+        return True
+
+    def remove_answer(self, size_bytes: int) -> None:
+        """Count nothing."""
+
 
 # For requests whose memory is bounded elsewhere.
 UNLIMITED_HOLDING = _Unlimited()
--- a/src/cinderway/entry/callers/_relay.py
+++ b/src/cinderway/entry/callers/_relay.py
@@ -47,17 +47,21 @@
     answer = exchange.answer
     parts: list[bytes] = []
     size_bytes = 0
+    is_complete = False
     try:
         with anyio.fail_after(max(deadline_ms - monotonic_ms(), 0) / 1000):
             async for chunk in answer.chunks():
                 parts.append(chunk)
                 size_bytes += len(chunk)
                 holding.add_answer(len(chunk))
-                if size_bytes > limit_bytes:
-                    raise _build_too_large_error(exchange, limit_bytes)
+                is_too_large = size_bytes > limit_bytes
+                if is_too_large or not holding.admits_answer(size_bytes):
+                    _record_unbounded_answer(dispatcher, exchange, is_too_large)
+                    raise _build_too_large_error(exchange, size_bytes)
                 dispatcher.evidence.record_progress(
                     exchange.attempt, len(chunk), monotonic_ms()
                 )
+        is_complete = True
     except TimeoutError as error:
         dispatcher.evidence.record_failure(exchange.attempt, FailureKind.OVERDUE)
         raise _build_cut_error(
@@ -68,6 +72,11 @@
             dispatcher.evidence.record_failure(exchange.attempt, FailureKind.CUT)
             exchange.record_broken_connection()
         raise
+    finally:
+        if not is_complete:
+            # An exception keeps this frame, and with it the parts, until it is handled.
+            parts.clear()
+            holding.remove_answer(size_bytes)
     body = b"".join(parts)
     length = answer.header(b"content-length")
     announced = length if not body and length not in (None, b"0") else None
@@ -75,6 +84,18 @@
     return WholeAnswer(answer.status, headers, body, announced)
 
 
+def _record_unbounded_answer(
+    dispatcher: Dispatcher, exchange: Exchange, is_too_large: bool
+) -> None:
+    """Record a failure of the server, unless the entry alone lacks room.
+
+    An answer of announced length may only be one of many that are read.
+    """
+    is_announced = exchange.answer.header(b"content-length") is not None
+    if is_too_large or not is_announced:
+        dispatcher.evidence.record_failure(exchange.attempt, FailureKind.ERROR)
+
+
 def headers_for_caller(answer: BackendAnswer) -> Headers:
     """Return the headers of a server's answer that are forwarded to the caller.
 
@@ -172,10 +193,10 @@
     )
 
 
-def _build_too_large_error(exchange: Exchange, limit_bytes: int) -> CinderwayError:
+def _build_too_large_error(exchange: Exchange, size_bytes: int) -> CinderwayError:
     return CinderwayError(
         ErrorCode.BACKEND_FAILED,
-        f"the answer is over {limit_bytes} bytes; the service must stream it",
+        f"the answer is too large after {size_bytes} bytes, or has no end",
         step=Step.RELAY_BODY,
         peer=exchange.server.row.address,
     )
--- a/src/cinderway/entry/servers/_dispatch.py
+++ b/src/cinderway/entry/servers/_dispatch.py
@@ -39,6 +39,8 @@
 from cinderway.scheduling import WorkClass
 
 SERVER_ERROR = 500
+# An answer to a probe that is larger has no end.
+PROBE_LIMIT_BYTES = 1024 * 1024
 # After a shed, this entry sends the server nothing for about the time that one of its
 # slots stays occupied: the service time multiplied by this share plus a random number
 # below 1.
@@ -273,6 +275,9 @@
         with anyio.move_on_after(max(deadline_ms - monotonic_ms(), 0) / 1000):
             async for chunk in answer.chunks():
                 size_bytes += len(chunk)
+                if size_bytes > PROBE_LIMIT_BYTES:
+                    self.evidence.record_failure(attempt, FailureKind.ERROR)
+                    return
         if size_bytes >= PIECE_BYTES:
             self.evidence.record_piece_end(attempt, monotonic_ms())
 
--- a/src/cinderway/limits/_held_bytes.py
+++ b/src/cinderway/limits/_held_bytes.py
@@ -10,6 +10,11 @@
 BODY_SHARE = 0.25
 # Requests up to this size are refused only when no room is left.
 SMALL_BYTES = 16 * 1024
+# An answer may take this share of the room that the others leave, so that of many
+# answers without end each one is ended and room remains for others.
+ANSWER_SHARE = 0.5
+# Answers up to this size are always read: their requests may have run.
+ALWAYS_READ_BYTES = 256 * 1024
 
 
 @dataclass
@@ -33,6 +38,13 @@
             return size_bytes < room_bytes
         return size_bytes <= room_bytes * BODY_SHARE
 
+    def admits_answer(self, answer_bytes: int, unread_bytes: int = 0) -> bool:
+        """Whether an answer may be read on; its own bytes are counted as held."""
+        if answer_bytes <= ALWAYS_READ_BYTES:
+            return True
+        others_bytes = self.held_bytes + unread_bytes - answer_bytes
+        return answer_bytes <= (self.limit_bytes - others_bytes) * ANSWER_SHARE
+
     def add(self, size_bytes: int) -> None:
         """Count bytes as held."""
         self.held_bytes += size_bytes
--- a/standins/catalog_fleet.py
+++ b/standins/catalog_fleet.py
@@ -9,6 +9,7 @@
 import tempfile
 import threading
 import time
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
@@ -62,7 +63,8 @@
     attempt).
     `runs` lists the attempts that were run, and `headers` holds the request headers of
     each. `arrivals` lists all attempts, including those shed. `response_headers` are
-    added to all responses.
+    added to all responses. `send_raw`, if set, returns the pieces of what is sent in
+    place of a response, to an attempt's name.
     """
 
     def __init__(self, server_id: str, service: str, data_hall: str = "suva"):
@@ -76,6 +78,7 @@
         # Request headers by attempt, of the attempts that were run.
         self.headers: dict[str, str] = {}
         self.handle_attempt = lambda attempt: 200
+        self.send_raw: Callable[[str], Iterable[bytes]] | None = None
         self.sequence = 0
         # Start time by the server's own clock; 0 if unknown.
         self.started_at_ms = 0
@@ -140,6 +143,11 @@
             return
         self.runs.append(attempt)
         self.headers[attempt] = str(handler.headers)
+        if self.send_raw is not None:
+            handler.close_connection = True
+            for piece in self.send_raw(attempt):
+                handler.wfile.write(piece)
+            return
         if status == "drop":
             handler.close_connection = True
             handler.connection.close()
--- a/tests/limits/test_held_bytes.py
+++ b/tests/limits/test_held_bytes.py
@@ -32,6 +32,29 @@
         self.assertTrue(held.admits(10 * LIMIT_BYTES))
         self.assertFalse(held.admits(10 * LIMIT_BYTES, unread_bytes=1))
 
+    @given(st.integers(1, 40), st.integers(1, 64 * 1024))
+    def test_answers_without_end_are_ended_within_the_bound(self, count, piece_bytes):
+        """Guards against servers whose answers together fill the memory."""
+        held = HeldBytes(32 * LIMIT_BYTES)
+        sizes = [0] * count
+        for _ in range(2 * held.limit_bytes // piece_bytes):
+            for i, size_bytes in enumerate(sizes):
+                held.add(piece_bytes)
+                sizes[i] = size_bytes + piece_bytes
+                if not held.admits_answer(sizes[i]):
+                    held.remove(sizes[i])
+                    sizes[i] = 0
+            self.assertLessEqual(held.held_bytes, held.limit_bytes)
+            if 0 in sizes:
+                return
+        self.fail("no answer was ended")
+
+    def test_small_answers_are_read_without_any_room(self):
+        """Guards against losing the answer to a request that has run."""
+        held = HeldBytes(LIMIT_BYTES, held_bytes=2 * LIMIT_BYTES)
+        held.add(100_000)
+        self.assertTrue(held.admits_answer(100_000, unread_bytes=LIMIT_BYTES))
+
     def test_a_request_without_a_body_is_refused_only_without_any_room(self):
         """Guards against refusing everything while large bodies fill the memory."""
         held = HeldBytes(LIMIT_BYTES, held_bytes=LIMIT_BYTES - 1)
--- a/tests/system/test_catalog.py
+++ b/tests/system/test_catalog.py
@@ -629,3 +629,70 @@
         sender.join()
         self.assertEqual(answers[0].status, 200)
         self.assertEqual(self.fleet.processes["entry-0"].wait(20), 0)
+
+
+class OddAnswerTests(CatalogCase):
+    """Servers in trouble send what is no answer, or what has no end."""
+
+    # What docs/operators/catalog.md promises for the default of 48 MiB.
+    MEMORY_LIMIT_MIB = 2 * 48 + 60
+
+    def setUp(self):
+        super().setUp()
+        self.fleet.put_sheet(INITIAL_SHEET)
+        for server in self.servers.values():
+            self.fleet.register(server)
+        self.fleet.wait_ready()
+
+    def ask(self, path="/look/x", method="GET", attempt="t1"):
+        headers = {"Host": "a.example", "cinderway-attempt": attempt}
+        return call(self.fleet.callers[0], method, path, b"", headers).status
+
+    def send_raw(self, send):
+        for server in self.servers.values():
+            server.send_raw = send
+
+    def test_a_status_that_cannot_be_forwarded_is_answered_with_502(self):
+        """The caller's connection was closed without an answer."""
+        self.send_raw(
+            lambda attempt: [
+                b"HTTP/1.1 600 X\r\ncinderway-attempt: %s\r\ncontent-length: 0\r\n\r\n"
+                % attempt.encode()
+            ]
+        )
+        self.assertEqual(self.ask(), 502)
+        self.assertEqual(self.ask("/once/x", "POST"), 502)
+
+    def test_bodies_without_end_leave_the_entry_its_memory(self):
+        """Twelve at once took five times what the platform gives a process."""
+
+        def send_chunks(attempt):
+            yield (
+                b"HTTP/1.1 200 OK\r\ncinderway-attempt: %s\r\ncinderway-seal: s\r\n"
+                b"transfer-encoding: chunked\r\n\r\n" % attempt.encode()
+            )
+            while True:
+                yield b"10000\r\n" + bytes(0x10000) + b"\r\n"
+
+        self.send_raw(send_chunks)
+        statuses = []
+        callers = [
+            threading.Thread(
+                target=lambda n=n: statuses.append(self.ask(attempt=f"t{n}"))
+            )
+            for n in range(12)
+        ]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        self.assertEqual(len(statuses), 12)
+        self.assertLessEqual(set(statuses), {502, 503, 504})
+        self.assertLess(self.read_peak_memory_mib(), self.MEMORY_LIMIT_MIB)
+        self.send_raw(None)
+        wait_for(lambda: self.ask() == 200, "an answer after the flood")
+
+    def read_peak_memory_mib(self):
+        pid = self.fleet.processes["entry-0"].pid
+        status = Path(f"/proc/{pid}/status").read_text()
+        return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / 1024
