entry: bound what a server sends before its head is complete

Seen by callers: a server that sends interim responses (103) without end held its slot and the request until the deadline (504 after 1.5 s). Cause: the parser bounds a single head, and each interim response is one. Change: at most 256 KiB are read until the final head is complete.

--- a/src/cinderway/entry/servers/_backends.py
+++ b/src/cinderway/entry/servers/_backends.py
@@ -47,6 +47,8 @@
 # Longest time for one piece that counts as time of the entry's own link. A server that
 # hangs before it has read the request takes longer.
 PIECE_TIME_LIMIT_MS = 500
+# What a server may send before its final head is complete, interim responses included.
+HEAD_LIMIT_BYTES = 256 * 1024
 SENDING_STARTED_EVENT = "http11.send_request_headers.started"
 # Interval of looking for idle connections that servers closed. What is found late is
 # found when the connection is to be used.
@@ -104,6 +106,8 @@
         self.is_cut_short = False
         self.record_send_time: RecordSendTime = ignore_send_time
         self._received = b""
+        # What may still be received before the response's head is complete.
+        self._head_left_bytes: int | None = None
         self._acked_bytes: int | None = None
         self._unsent: list[bytes] = []
 
@@ -116,8 +120,26 @@
         """Prepare to tell whether the server reads the next request at all."""
         self._acked_bytes = read_acked_bytes(self.raw)
 
+    def begin_head(self) -> None:
+        """Bound what is received from now on until the response's head is complete."""
+        self._head_left_bytes = HEAD_LIMIT_BYTES
+
+    def end_head(self) -> None:
+        """End the bound, as the head is complete."""
+        self._head_left_bytes = None
+
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Send what was written; return the available bytes, or b"" at the end."""
+        received = await self._receive(max_bytes)
+        if self._head_left_bytes is not None:
+            self._head_left_bytes -= len(received)
+            if self._head_left_bytes < 0:
+                raise httpcore.RemoteProtocolError(
+                    f"no response after {HEAD_LIMIT_BYTES} bytes"
+                )
+        return received
+
+    async def _receive(self, max_bytes: int) -> bytes:
         await self._send_request()
         if self._received:
             received, self._received = self._received, b""
@@ -363,6 +385,7 @@
             raise reason
         self._begin(connection, sending.record_use)
         connection.stream.record_send_time = sending.record_send_time
+        connection.stream.begin_head()
         response = None
         try:
             response = await connection.http.handle_async_request(
@@ -380,6 +403,7 @@
         finally:
             if response is None:
                 await connection.release(None)
+        connection.stream.end_head()
         reason = describe_invalid_status(response.status)
         if reason:
             await connection.release(None)
--- a/tests/entry/servers/test_backends.py
+++ b/tests/entry/servers/test_backends.py
@@ -165,6 +165,15 @@
                 self.assertIs(result.step, Step.AWAIT_ANSWER)
         self.assertEqual(ask(Server(answer(599)), "a1"), [(599, b"body")])
 
+    def test_interim_responses_without_end_are_an_invalid_response(self):
+        """They held a slot of the server until the deadline."""
+        flood = b"HTTP/1.1 103 X\r\nlink: </x>\r\n\r\n" * 20_000
+        result = ask(Server(flood), "a1")[0]
+        self.assertIsInstance(result, CinderwayError)
+        self.assertIn("no response after", result.detail)
+        interim = b"HTTP/1.1 103 X\r\nlink: </x>\r\n\r\n" * 100
+        self.assertEqual(ask(Server(interim + answer()), "a1"), [(200, b"body")])
+
     def test_an_answer_cut_anywhere_is_never_a_success(self):
         """Callers must not get a 200 with an empty or partial body that looks whole."""
         chunked = answer(length=0, headers="transfer-encoding: chunked\r\n").replace(
