entry: refuse a response's head with a line that ends without CR

Cause: the parser takes a bare LF for a line's end; LF in front of CRLF ends the head, and without its length the rest is a body that ends with its connection. Change: lines of a head must end with CRLF, checked before it is parsed; the bound on what comes before a complete head moves there. test_a_line_that_ends_without_cr_does_not_turn_headers_into_a_body failed before.

--- a/src/cinderway/entry/servers/_backends.py
+++ b/src/cinderway/entry/servers/_backends.py
@@ -14,6 +14,7 @@
 from cinderway._operators import Metrics
 from cinderway._peer_close import is_closed_by_peer
 from cinderway.entry.servers._early_answer import BodySender
+from cinderway.entry.servers._head_check import HeadCheck
 from cinderway.entry.servers._idle_connections import (
     DEFAULT_CONNECTION_LIMIT,
     DEFAULT_TERMS,
@@ -47,8 +48,6 @@
 # Longest time for one piece that counts as time of the entry's own link. A server that
 # hangs before it has read the request takes longer.
 PIECE_TIME_LIMIT_MS = 500
-# What a server may send before its final head is complete, interim responses included.
-HEAD_LIMIT_BYTES = 256 * 1024
 SENDING_STARTED_EVENT = "http11.send_request_headers.started"
 # Interval of looking for idle connections that servers closed. What is found late is
 # found when the connection is to be used.
@@ -106,8 +105,7 @@
         self.is_cut_short = False
         self.record_send_time: RecordSendTime = ignore_send_time
         self._received = b""
-        # What may still be received before the response's head is complete.
-        self._head_left_bytes: int | None = None
+        self._head_check = HeadCheck()
         self._acked_bytes: int | None = None
         self._unsent: list[bytes] = []
 
@@ -120,23 +118,14 @@
         """Prepare to tell whether the server reads the next request at all."""
         self._acked_bytes = read_acked_bytes(self.raw)
 
-    def begin_head(self) -> None:
-        """Bound what is received from now on until the response's head is complete."""
-        self._head_left_bytes = HEAD_LIMIT_BYTES
-
-    def end_head(self) -> None:
-        """End the bound, as the head is complete."""
-        self._head_left_bytes = None
+    def begin_response(self) -> None:
+        """Check what is received from now on as the head of a response."""
+        self._head_check = HeadCheck()
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Send what was written; return the available bytes, or b"" at the end."""
         received = await self._receive(max_bytes)
-        if self._head_left_bytes is not None:
-            self._head_left_bytes -= len(received)
-            if self._head_left_bytes < 0:
-                raise httpcore.RemoteProtocolError(
-                    f"no response after {HEAD_LIMIT_BYTES} bytes"
-                )
+        self._head_check.receive(received)
         return received
 
     async def _receive(self, max_bytes: int) -> bytes:
@@ -385,7 +374,7 @@
             raise reason
         self._begin(connection, sending.record_use)
         connection.stream.record_send_time = sending.record_send_time
-        connection.stream.begin_head()
+        connection.stream.begin_response()
         response = None
         try:
             response = await connection.http.handle_async_request(
@@ -403,7 +392,6 @@
         finally:
             if response is None:
                 await connection.release(None)
-        connection.stream.end_head()
         reason = describe_invalid_status(response.status)
         if reason:
             await connection.release(None)
--- a/tests/entry/servers/test_backends.py
+++ b/tests/entry/servers/test_backends.py
@@ -170,10 +170,21 @@
         flood = b"HTTP/1.1 103 X\r\nlink: </x>\r\n\r\n" * 20_000
         result = ask(Server(flood), "a1")[0]
         self.assertIsInstance(result, CinderwayError)
-        self.assertIn("no response after", result.detail)
+        self.assertIn("no complete head", result.detail)
         interim = b"HTTP/1.1 103 X\r\nlink: </x>\r\n\r\n" * 100
         self.assertEqual(ask(Server(interim + answer()), "a1"), [(200, b"body")])
 
+    def test_a_line_that_ends_without_cr_does_not_turn_headers_into_a_body(self):
+        """A success had its own last headers as its body."""
+        whole = answer()
+        position = whole.index(b"\r\ncontent-length")
+        for noise in (b"\n", b"\n\n"):
+            damaged = whole[:position] + noise + whole[position:]
+            result = ask(Server(damaged), "a1")[0]
+            self.assertIsInstance(result, CinderwayError)
+        interim = b"HTTP/1.1 103 X\r\n\r\n"
+        self.assertIsInstance(ask(Server(interim + damaged), "a1")[0], CinderwayError)
+
     def test_an_answer_cut_anywhere_is_never_a_success(self):
         """Callers must not get a 200 with an empty or partial body that looks whole."""
         chunked = answer(length=0, headers="transfer-encoding: chunked\r\n").replace(
