entry: refuse a response whose length differs from its chunks

Seen by callers: an answer with both Content-Length and Transfer-Encoding was forwarded with the chunks' body, whatever the length said (length 2, five bytes in chunks: 200). Cause: the parser lets chunks override a length (RFC 9112, 6.3), and drops the length. Decision: such a message ought to be handled as an error; a server that sends the same size twice does no harm, so only a difference is one. The connection is not used again in either case, as the next response on it may be smuggled. test_a_length_that_differs_from_the_chunks_is_rejected failed before.

--- a/src/cinderway/entry/servers/_messages.py
+++ b/src/cinderway/entry/servers/_messages.py
@@ -150,20 +150,37 @@
         return max(min(int(found[1]) - IDLE_MARGIN_S, IDLE_LIMIT_S), 0.0)
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body; raise CinderwayError if it is cut short."""
+        """Yield the body; raise CinderwayError if it is cut short.
+
+        A response with both a length and chunks is an error unless both agree, and its
+        connection is not used again (RFC 9112, section 6.3).
+        """
+        size_bytes = 0
         try:
             async for chunk in self._response.aiter_stream():
+                size_bytes += len(chunk)
                 yield chunk
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            raise CinderwayError(
-                ErrorCode.ANSWER_CUT_SHORT,
-                f"the body ended early: {error}",
-                step=Step.RELAY_BODY,
-                peer=self._connection.address,
-            ) from error
+            raise self._build_cut_error(f"the body ended early: {error}") from error
+        length = self.header(b"content-length")
+        if length is not None and self.header(b"transfer-encoding") is not None:
+            if length != b"%d" % size_bytes:
+                raise self._build_cut_error(
+                    f"the body has {size_bytes} bytes in chunks, and a length of "
+                    f"{length.decode('latin-1')}"
+                )
+            return
         self._connection.is_reusable = True
         self._connection.idle_limit_ms = round(self.compute_idle_limit_s() * 1000)
 
+    def _build_cut_error(self, detail: str) -> CinderwayError:
+        return CinderwayError(
+            ErrorCode.ANSWER_CUT_SHORT,
+            detail,
+            step=Step.RELAY_BODY,
+            peer=self._connection.address,
+        )
+
     async def aclose(self) -> None:
         """Give the connection back if the body was read whole, else close it."""
         await self._connection.release(self._response)
--- a/tests/entry/servers/test_backends.py
+++ b/tests/entry/servers/test_backends.py
@@ -185,6 +185,23 @@
         interim = b"HTTP/1.1 103 X\r\n\r\n"
         self.assertIsInstance(ask(Server(interim + damaged), "a1")[0], CinderwayError)
 
+    def test_a_length_that_differs_from_the_chunks_is_rejected(self):
+        """Nobody can tell which of the two is the whole body."""
+        chunks = b"4\r\nbody\r\n0\r\n\r\n"
+        for length, expected in ((4, (200, b"body")), (2, None), (9, None)):
+            sent = answer(
+                body=chunks, length=length, headers="transfer-encoding: chunked\r\n"
+            )
+            server = Server(sent, answer(attempt="a2"), b"")
+            first, second = ask(server, "a1", "a2")
+            with self.subTest(length=length):
+                if expected is None:
+                    self.assertIs(first.code, ErrorCode.ANSWER_CUT_SHORT)
+                else:
+                    self.assertEqual(first, expected)
+                self.assertEqual(second, (200, b"body"))
+                self.assertEqual(server.connections, 2)
+
     def test_an_answer_cut_anywhere_is_never_a_success(self):
         """Callers must not get a 200 with an empty or partial body that looks whole."""
         chunked = answer(length=0, headers="transfer-encoding: chunked\r\n").replace(
