entry: refuse what would be cut by a stop

Cause: a stopping entry accepted whatever came during its drain. Change: a request whose deadline lies behind the end of the stop is refused as not run if the slow answers of its service (nine tenths come sooner) would come after that end. Ruled out: by the route's timeout alone (refuses from 1.2 s on at a route of 4 s); an earlier deadline for the servers (their 504 takes the place of answers that are only just late).

--- a/src/cinderway/entry/_blackboard.py
+++ b/src/cinderway/entry/_blackboard.py
@@ -150,6 +150,8 @@
     uplinks: Uplinks = field(default_factory=Uplinks)
     is_table_trusted: bool = False
     is_leaving: bool = False
+    # When a stopping entry ends the requests that are left.
+    end_at_ms: int | None = None
     in_flight: int = 0
     # Number of entries in the fleet, including this one, as far as known. Limits that a
     # server sets for all callers together, such as connections, are divided by it.
--- a/src/cinderway/entry/_catalog_daemon.py
+++ b/src/cinderway/entry/_catalog_daemon.py
@@ -181,7 +181,7 @@
     """
     end_at_ms = monotonic_ms() + max(settings.stop_limit_ms - LAST_ANSWERS_MS, 0)
     drained_at_ms = monotonic_ms() + settings.drain_ms
-    board.is_leaving = True
+    board.is_leaving, board.end_at_ms = True, end_at_ms
     logger.info("stopping: %d requests in flight", board.in_flight)
     await anyio.sleep((min(drained_at_ms, end_at_ms) - monotonic_ms()) / 1000)
     server.stop()
--- a/src/cinderway/entry/callers/_attempts.py
+++ b/src/cinderway/entry/callers/_attempts.py
@@ -155,7 +155,7 @@
         if not is_repeatable or not may_reach_more:
             return await attempt()
 
-        pace = self._find_pace(service, request)
+        pace = self.find_pace(service, request)
         delay_ms = compute_hedge_delay_ms(pace, request.objective_ms)
         until_ms = self._retry_until_ms(service, request)
 
@@ -223,9 +223,9 @@
 
     def _retry_until_ms(self, service: ServiceState, request: CallerRequest) -> float:
         """Return until when another attempt would usually be answered in time."""
-        return request.deadline_ms - self._find_pace(service, request).usual_ms
+        return request.deadline_ms - self.find_pace(service, request).usual_ms
 
-    def _find_pace(self, service: ServiceState, request: CallerRequest) -> Pace:
+    def find_pace(self, service: ServiceState, request: CallerRequest) -> Pace:
         """Return the pace of a request's class of work, or else of its service."""
         work = self.dispatcher.board.find_mixed_class(request.work)
         return self.dispatcher.evidence.pace(service.row.name, work)
--- a/src/cinderway/entry/callers/_route_handler.py
+++ b/src/cinderway/entry/callers/_route_handler.py
@@ -222,8 +222,26 @@
         permit.attempt_id = request.attempt_id
         permit.digest = await compute_digest(request, self.digests)
         permit.raise_if_refused()
+        self._raise_if_stop_comes_first(record.service, request)
         await self._fetch_and_reply(route, record.service, request, receive, reply)
 
+    def _raise_if_stop_comes_first(
+        self, service: ServiceName, request: CallerRequest
+    ) -> None:
+        """Refuse a request that this entry would probably end before its answer."""
+        end_at_ms = self.state.board.end_at_ms
+        if end_at_ms is None or request.deadline_ms <= end_at_ms:
+            return
+        pace = self.attempts.find_pace(self.state.board.services[service], request)
+        # Nine tenths of the answers come sooner.
+        if monotonic_ms() + max(pace.slow_ms, pace.late_ms) > end_at_ms:
+            raise CinderwayError(
+                ErrorCode.ENTRY_STOPS,
+                f"the entry stops in {end_at_ms - monotonic_ms()} ms, and answers take "
+                f"up to {pace.slow_ms:.0f} ms",
+                step=Step.QUEUE,
+            )
+
     def _build_request(
         self,
         scope: dict,
--- a/tests/entry/callers/test_route_handler.py
+++ b/tests/entry/callers/test_route_handler.py
@@ -29,7 +29,7 @@
 from cinderway.entry.servers._messages import (
     HeaderNames,
 )
-from cinderway.judgement import EvidenceLog
+from cinderway.judgement import EvidenceLog, Pace
 from cinderway.poison import REFUSAL_THRESHOLD, REFUSED_FOR_MS
 from cinderway.scheduling import WorkClass
 
@@ -58,6 +58,10 @@
     def __init__(self):
         self.services = []
         self.requests = []
+        self.pace = Pace.from_normal(100)
+
+    def find_pace(self, service, request):
+        return self.pace
 
     async def fetch_answer(self, service, request, is_repeatable):
         self.services.append(service.row.name)
@@ -146,6 +150,25 @@
         ]
         return GrantAllowances(lines, lease_ms=4_000, window_ms=5_000)
 
+    def test_a_stopping_entry_refuses_what_it_would_probably_end(self):
+        """Guards against running a request whose answer the stop would cut off."""
+        self.install(1, kind="once", timeout_ms=4_000)
+        self.attempts.pace = Pace(usual_ms=500, slow_ms=1_500, late_ms=1_000)
+        for left_ms, deadline_ms, expected in (
+            (1_000, 4_000, 503),
+            (2_000, 4_000, 200),
+            (1_000, 900, 200),
+        ):
+            with self.subTest(left_ms=left_ms, deadline_ms=deadline_ms):
+                self.state.board.end_at_ms = monotonic_ms() + left_ms
+                caller = Caller(deadline_ms)
+                self.assertEqual(anyio.run(self.serve, caller), [expected])
+                if expected == 503:
+                    self.assertEqual(
+                        caller.headers[0][b"cinderway-outcome"], b"not_run"
+                    )
+                    self.assertEqual(self.attempts.requests, [])
+
     async def serve(self, caller):
         await self.handler(caller.scope, caller.receive, caller.send)
         return caller.statuses
