--- a/tests/entry/callers/test_route_handler.py
+++ b/tests/entry/callers/test_route_handler.py
@@ -152,12 +152,12 @@
 
     def test_a_stopping_entry_refuses_what_it_would_probably_end(self):
         """Guards against running a request whose answer the stop would cut off."""
-        self.install(1, kind="once", timeout_ms=4_000)
-        self.attempts.pace = Pace(usual_ms=500, slow_ms=1_500, late_ms=1_000)
+        self.install(1, kind="once")
+        self.attempts.pace = Pace(usual_ms=100, slow_ms=600, late_ms=300)
         for left_ms, deadline_ms, expected in (
-            (1_000, 4_000, 503),
-            (2_000, 4_000, 200),
-            (1_000, 900, 200),
+            (500, 4_000, 503),
+            (900, 4_000, 200),
+            (500, 400, 200),
         ):
             with self.subTest(left_ms=left_ms, deadline_ms=deadline_ms):
                 self.state.board.end_at_ms = monotonic_ms() + left_ms
