http: read the body of a request that offers an upgrade

Cause: httptools ends a request with an offer behind its head and raises HttpParserUpgrade with an offset; uvicorn ignores it and parses on. Change: on all servers the head of such a request is parsed again without the offer, and what follows is its body (RFC 9110, 7.8).

--- a/src/cinderway/_http_server.py
+++ b/src/cinderway/_http_server.py
@@ -11,6 +11,7 @@
 
 from cinderway._http_timeouts import ConnectionTimeouts, TimedHttpProtocol
 from cinderway._ids import Address
+from cinderway._request_parser import HttpProtocol
 
 START_POLL_INTERVAL_S = 0.005
 ACCEPT_BACKLOG = 4096
@@ -69,7 +70,7 @@
     keep_alive_s: float = DEFAULT_KEEP_ALIVE_S,
     receive_window_bytes: int = 0,
     timeouts: Callable[[], ConnectionTimeouts] | None = None,
-    protocol: Callable | str = "httptools",
+    protocol: Callable = HttpProtocol,
 ) -> EventDrivenServer:
     """Build a server for the application; the caller starts it with `serve`.
 
@@ -78,7 +79,7 @@
     """
     host, _, port = address.rpartition(":")
     if timeouts is not None:
-        timed = TimedHttpProtocol if protocol == "httptools" else protocol
+        timed = TimedHttpProtocol if protocol is HttpProtocol else protocol
         protocol = functools.partial(timed, timeouts=timeouts)
     config = uvicorn.Config(
         app,
--- a/src/cinderway/_http_timeouts.py
+++ b/src/cinderway/_http_timeouts.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import STATUS_LINE
+
+from cinderway._request_parser import HttpProtocol
 
 REQUEST_TIMEOUT = 408
 
@@ -21,7 +23,7 @@
 DEFAULT_TIMEOUTS = ConnectionTimeouts(header_s=30.0, idle_s=30.0)
 
 
-class TimedHttpProtocol(HttpToolsProtocol):
+class TimedHttpProtocol(HttpProtocol):
     """One connection of a uvicorn server.
 
     A connection is idle while no request has begun and no answer is due. The time for
