http: do not take trailers for headers

Seen by callers: a field behind the last chunk of a body reached the server as one of the request's headers, and stood in the list that the entry reads its own headers from. Change: once the head is complete, further fields go to a copy that nothing reads (RFC 9110, 6.5.1, allows to discard them). test_trailers_do_not_become_headers failed before.

--- a/src/cinderway/_request_parser.py
+++ b/src/cinderway/_request_parser.py
@@ -72,6 +72,8 @@
     def _on_headers_complete(self) -> None:
         if not self._parser.should_upgrade():
             self._protocol.on_headers_complete()
+            # Trailers go to another list than the one that the application sees.
+            self._protocol.headers = list(self._protocol.headers)
 
     def _on_message_complete(self) -> None:
         if not self._parser.should_upgrade():
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -158,6 +158,16 @@
             requests, _ = serve([sent], is_for_callers=False)
             self.assertEqual(requests, [("PUT", "/x", b"sheet")])
 
+    def test_trailers_do_not_become_headers(self):
+        """A second id of the request came with its body."""
+        head = b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+        for offer in OFFERS:
+            headers = []
+            body = b"2\r\nok\r\n0\r\nattempt: other\r\n\r\n"
+            requests, _ = serve([head + offer + b"\r\n", body], headers=headers)
+            self.assertEqual(requests, [("POST", "/x", b"ok")])
+            self.assertNotIn((b"attempt", b"other"), headers[0])
+
     def test_connect_is_answered_with_400(self):
         requests, answered = serve(
             [b"CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n" + QUOTED]
