control: take the first config with one voter fewer

Cause: a group without a sheet took changes only with 2f + 1 voters, since f lost disks could take an acknowledged change or the quorum; a machine that was never there never votes. Change: 2f voters are enough where proven losses count: entries are on f + 1 of them, and f of 2f are a quorum with one proof.

--- a/src/cinderway/control/_commands.py
+++ b/src/cinderway/control/_commands.py
@@ -13,7 +13,7 @@
     SubmitCommand,
     encode_command,
 )
-from cinderway.replication import Node
+from cinderway.replication import Membership, Node
 from cinderway.wire import Failure, Identity, Message, RpcClient
 
 # Operators and servers wait for an answer for a second, then call another replica. A
@@ -21,15 +21,25 @@
 PROPOSE_TIMEOUT_S = 0.9
 
 
-def can_accept_commands(voters: int, min_voters: int, has_sheet: bool) -> bool:
+def compute_voters_needed(membership: Membership, target_voters: int) -> int:
+    """Return how many voters a new group needs before it may acknowledge changes.
+
+    With fewer, losing as many disks as the group must tolerate could lose acknowledged
+    changes. One machine may be away from the first start on if proven losses count.
+    """
+    return target_voters - 1 if membership.counts_all_proofs else target_voters
+
+
+def can_accept_commands(
+    membership: Membership, target_voters: int, *, has_sheet: bool
+) -> bool:
     """Whether a group may acknowledge changes.
 
-    Until the group has its first route sheet, only once enough replicas are voters:
-    with fewer, losing as many disks as the group must tolerate could lose acknowledged
-    changes. Later there are fewer voters only while a lost disk is being replaced, and
-    that disk counts among the tolerated losses.
+    Once it has its first route sheet, there are too few voters only while a lost disk
+    is being replaced, and that disk counts among the tolerated losses.
     """
-    return has_sheet or voters >= min_voters
+    needed = compute_voters_needed(membership, target_voters)
+    return has_sheet or len(membership.voters) >= needed
 
 
 @dataclass
@@ -66,7 +76,7 @@
     node: Node
     machine: CatalogMachine
     calls: ReplicaCalls
-    min_voters: int
+    target_voters: int
 
     async def submit(self, command: Command) -> None:
         """Replicate a command, here or through the leader; return once it is committed.
@@ -89,11 +99,14 @@
 
     async def propose(self, data: bytes) -> None:
         """Replicate an encoded command; only the leader can."""
-        voters = len(self.node.core.membership.voters)
-        if not can_accept_commands(voters, self.min_voters, self.machine.has_sheet):
+        membership = self.node.core.membership
+        if not can_accept_commands(
+            membership, self.target_voters, has_sheet=self.machine.has_sheet
+        ):
+            needed = compute_voters_needed(membership, self.target_voters)
             raise CinderwayError(
                 ErrorCode.GROUP_TOO_SMALL,
-                f"the group has {voters} voters; {self.min_voters} are needed",
+                f"the group has {len(membership.voters)} voters; {needed} are needed",
                 step=Step.PROPOSE,
             )
         await self.node.propose(data, PROPOSE_TIMEOUT_S)
--- a/tests/replication/test_quorum.py
+++ b/tests/replication/test_quorum.py
@@ -792,6 +792,29 @@
     setup = Setup(7, 3, Timing())
 
 
+class MachineAwayFromTheStartTests(unittest.TestCase):
+    """A group that never had its fifth voter survives two lost disks."""
+
+    def test_any_two_disks_are_lost_right_after_a_change(self):
+        for seed, lost in enumerate(itertools.combinations(range(4), 2)):
+            with self.subTest(lost=lost):
+                self.assertTrue(self.recovers(seed, lost))
+
+    def recovers(self, seed, lost):
+        group = Group(Setup(4, 2, Timing()), seed)
+        group.run_for(CATCH_UP_MS)
+        self.assertGreater(group.acknowledged_index, 0)
+        machines = list(group.machines.values())
+        for index in lost:
+            group.lose_disk(machines[index])
+        for index in lost:
+            group.start(machines[index])
+        recovered_from_ms = group.now_ms + 1_000
+        return group.run_until(
+            lambda: (group.read_at_ms or 0) > recovered_from_ms, RECOVERY_MS
+        )
+
+
 class FormerMemberTests(SpareVoterCase):
     """A machine that was removed while it was silent starts again with an empty disk.
 
