control: mark the first start before the program is imported

Cause: only a process that is told of the first start creates the group, and that is said once. Its first write came 0.23 s after its start, behind all imports. Change: it sets a durable mark first (0.06 to 0.07 s after its start; the settings no longer import the table), and a later start that finds the mark and no replica creates the group. The mark is set in an empty folder by the first seed alone and shares its disk with the group, so that no second group can form.

--- a/src/cinderway/_launch.py
+++ b/src/cinderway/_launch.py
@@ -15,6 +15,7 @@
 import anyio
 
 from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._first_start import mark_first_start
 from cinderway._settings import (
     CatalogControlSettings,
     CatalogEntrySettings,
@@ -37,11 +38,15 @@
 
 @dataclass(frozen=True)
 class Role:
-    """One kind of daemon: its settings, and the function that runs it."""
+    """One kind of daemon: its settings, and the function that runs it.
+
+    `prepare` is called first, before the package is imported.
+    """
 
     settings: type
     package: str
     function: str
+    prepare: Callable[[Any], None] = lambda settings: None
 
     async def run(self, settings: Any) -> None:
         """Run the daemon until it is told to stop."""
@@ -55,7 +60,10 @@
     "ledger": Role(ReplicaSettings, "cinderway.ledger", "run_ledger"),
     "catalog-entry": Role(CatalogEntrySettings, "cinderway.entry", "run_catalog_entry"),
     "catalog-control": Role(
-        CatalogControlSettings, "cinderway.control", "run_catalog_control"
+        CatalogControlSettings,
+        "cinderway.control",
+        "run_catalog_control",
+        mark_first_start,
     ),
 }
 
@@ -115,7 +123,9 @@
     try:
         role = _get_role(arguments[0] if arguments else "")
         given = add_settings_file(_read_environment(role))
-        run_daemon(role.run, parse_settings(role.settings, given))
+        settings = parse_settings(role.settings, given)
+        role.prepare(settings)
+        run_daemon(role.run, settings)
     except CinderwayError as error:
         print(f"cinderway: {error}", file=sys.stderr)
         return get_exit_code(error)
--- a/src/cinderway/_settings/_catalog_roles.py
+++ b/src/cinderway/_settings/_catalog_roles.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from cinderway._bias import Bias
 from cinderway._ids import Address, DataHall, EntryName
 from cinderway._settings._declaration import setting
 from cinderway._settings._fields import (
@@ -25,7 +26,6 @@
     parse_name,
     parse_optional_address,
 )
-from cinderway.table import Bias
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/cinderway/control/_catalog_daemon.py
+++ b/src/cinderway/control/_catalog_daemon.py
@@ -13,6 +13,7 @@
     start_operators_server,
     wait_for_stop,
 )
+from cinderway._first_start import creates_group
 from cinderway._http_server import serve_http
 from cinderway._ids import Address
 from cinderway._logging import configure_logging
@@ -120,11 +121,11 @@
 def _bootstrap_if_first(settings: CatalogControlSettings) -> None:
     """Bootstrap the group on the first seed, once, at the fleet's first start.
 
-    All replicas have the same seeds then, so they agree on which of them bootstraps it.
     For a replica that starts with an empty disk later, `is_first_start` is false. A
-    bootstrap that was interrupted is completed at any later start.
+    bootstrap that was interrupted, also before it began, is completed at any later
+    start.
     """
-    is_first = settings.is_first_start and settings.http_listen == settings.seeds[0]
+    is_first = creates_group(settings)
     folder = DataFolder(settings.data_folder, GROUP, settings.listen)
     if (is_first and folder.is_new) or folder.is_bootstrap_interrupted:
         folder.bootstrap(b"")
--- a/src/cinderway/replication/_storage.py
+++ b/src/cinderway/replication/_storage.py
@@ -2,6 +2,7 @@
 
     identity          the replica's id, created once together with the folder
     snapshot-N        the state machine as of index N
+    first-start       this process is to create the group, and has not done so yet
     wal-G             generation G of the log: the snapshot that it starts from, and the
                       hard state and entries since then
 
@@ -21,6 +22,7 @@
 import msgspec
 
 from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._first_start import MARK_FILE
 from cinderway._ids import Address, ReplicaId
 from cinderway.replication._log import Log
 from cinderway.replication._messages import (
@@ -115,12 +117,13 @@
 
     @property
     def is_bootstrap_interrupted(self) -> bool:
-        """Whether `bootstrap` has begun here and has not completed.
+        """Whether `bootstrap` was to run here and has not completed.
 
         The group does not exist then, and nobody else will create it.
         """
         path = self._snapshot_path(BOOTSTRAP_INDEX)
-        return self.is_new and (path.exists() or _temporary_path(path).exists())
+        signs = (self.path / MARK_FILE, path, _temporary_path(path))
+        return self.is_new and any(sign.exists() for sign in signs)
 
     def bootstrap(self, state: bytes) -> None:
         """Make this folder the first and only voter of a new group.
@@ -141,6 +144,7 @@
         snapshot = Snapshot(BOOTSTRAP_INDEX, BOOTSTRAP_TERM, membership.encode(), state)
         self.replace(snapshot, HardState(term=BOOTSTRAP_TERM), [])
         self._write_identity()
+        (self.path / MARK_FILE).unlink(missing_ok=True)
         self.close()
 
     def close(self) -> None:
--- a/src/cinderway/table/_rows.py
+++ b/src/cinderway/table/_rows.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from cinderway._bias import Bias
 from cinderway._ids import Address, DataHall, ServerName, ServiceName
 from cinderway.table._columns import (
     Choice,
@@ -37,14 +38,6 @@
     SERVERS = "servers"
 
 
-class Bias(Enum):
-    """Which error failure detection should prefer: false alarms or late detection."""
-
-    DETECT_SOON = "detect-soon"
-    BALANCED = "balanced"
-    EJECT_RARELY = "eject-rarely"
-
-
 class AnswerMode(Enum):
     """How a response is relayed to the caller: buffered whole, or streamed."""
 
--- a/tests/replication/test_interrupted_writes.py
+++ b/tests/replication/test_interrupted_writes.py
@@ -10,6 +10,7 @@
 from unittest import mock
 
 from cinderway._errors import CinderwayError, ErrorCode
+from cinderway._first_start import MARK_FILE, mark_first_start
 from cinderway._ids import Address
 from cinderway.control import _catalog_daemon
 from cinderway.replication._messages import (
@@ -269,6 +270,49 @@
 
         self.check_interruptions(self.bootstrap, check)
 
+    def settings_of(self, path, *, is_first_start, address="127.0.0.1:80"):
+        return mock.Mock(
+            is_first_start=is_first_start,
+            http_listen=address,
+            seeds=("127.0.0.1:80", "127.0.0.1:81"),
+            data_folder=path,
+            listen=ADDRESS,
+        )
+
+    def test_a_first_start_that_is_killed_before_it_wrote_a_log_is_gone_on_with(self):
+        """Nothing created the group any more, and no order was ever taken."""
+
+        def mark(path):
+            mark_first_start(self.settings_of(path, is_first_start=True))
+
+        def check(path):
+            is_marked = (path / MARK_FILE).exists()
+            later = self.settings_of(path, is_first_start=False)
+            mark_first_start(later)
+            _catalog_daemon._bootstrap_if_first(later)
+            folder, recovered = self.recover(path)
+            expected = {folder.identity.replica_id} if is_marked else set()
+            self.assertEqual(recovered.log.membership.voters, expected)
+            # A group that exists is not created again.
+            mark(path)
+            _catalog_daemon._bootstrap_if_first(later)
+            again, _ = self.recover(path)
+            self.assertEqual(again.identity, folder.identity)
+
+        self.check_interruptions(mark, check)
+
+    def test_only_the_first_seed_marks_the_first_start(self):
+        """Two groups could form otherwise."""
+        with tempfile.TemporaryDirectory() as name:
+            path = Path(name)
+            other = self.settings_of(path, is_first_start=True, address="127.0.0.1:81")
+            mark_first_start(other)
+            mark_first_start(self.settings_of(path, is_first_start=False))
+            self.assertEqual(list(path.iterdir()), [])
+            (path / "anything").touch()
+            mark_first_start(self.settings_of(path, is_first_start=True))
+            self.assertFalse((path / MARK_FILE).exists())
+
     def test_an_interrupted_bootstrap_can_be_repeated_at_a_first_start(self):
         def check(path):
             folder = DataFolder(path, GROUP, ADDRESS)
