--- a/src/cinderway/entry/servers/_backends.py
+++ b/src/cinderway/entry/servers/_backends.py
@@ -394,26 +394,14 @@
                 await connection.release(None)
         reason = describe_invalid_status(response.status)
         if reason:
-            await connection.release(None)
-            raise CinderwayError(
-                ErrorCode.BACKEND_FAILED,
-                reason,
-                step=Step.AWAIT_ANSWER,
-                peer=connection.address,
-            )
+            raise await _discard_response(connection, ErrorCode.BACKEND_FAILED, reason)
         headers = [(name, value) for name, value in response.headers]
         answer = BackendAnswer(
             response.status, headers, response, connection, self.names
         )
         reason = answer.describe_mismatch(sending.attempt_id)
         if reason:
-            await connection.release(None)
-            raise CinderwayError(
-                ErrorCode.ANSWER_FOREIGN,
-                reason,
-                step=Step.AWAIT_ANSWER,
-                peer=connection.address,
-            )
+            raise await _discard_response(connection, ErrorCode.ANSWER_FOREIGN, reason)
         return answer
 
     def _begin(self, connection: _PooledConnection, record_use: UseRecorder) -> None:
@@ -530,6 +518,14 @@
         )
 
 
+async def _discard_response(
+    connection: _PooledConnection, code: ErrorCode, reason: str
+) -> CinderwayError:
+    """Close the connection of a response that cannot be used; return the error."""
+    await connection.release(None)
+    return CinderwayError(code, reason, step=Step.AWAIT_ANSWER, peer=connection.address)
+
+
 def _build_attempt_error(
     connection: _PooledConnection, error: Exception
 ) -> CinderwayError:
