entry: a reset connection is a closed one, not an error of the next request

Cause: the event loop closes the transport as soon as it notices the reset, while the connection is among the idle ones. Change: a stream looks its socket up once; one that is gone counts as closed. Options are set in one place that bears a lost connection, also between our own processes. ResetTests fails before, with asyncio and uvloop.

--- a/src/cinderway/entry/servers/_backends.py
+++ b/src/cinderway/entry/servers/_backends.py
@@ -13,6 +13,7 @@
 from cinderway._ids import Address, AttemptId, ServerName, ServiceName
 from cinderway._operators import Metrics
 from cinderway._peer_close import is_closed_by_peer
+from cinderway._raw_socket import find_raw_socket, is_open, set_option
 from cinderway.entry.servers._early_answer import BodySender
 from cinderway.entry.servers._head_check import HeadCheck
 from cinderway.entry.servers._idle_connections import (
@@ -97,6 +98,8 @@
 
     def __init__(self, stream: anyio.abc.SocketStream):
         self._stream = stream
+        # None if the connection was gone as soon as it was open.
+        self.raw = find_raw_socket(stream)
         # Whether the server has closed the connection.
         self.is_closed_by_server = False
         # Whether it did so before it read the current request.
@@ -109,11 +112,6 @@
         self._acked_bytes: int | None = None
         self._unsent: list[bytes] = []
 
-    @property
-    def raw(self):
-        """The socket."""
-        return self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
-
     def begin_kept_request(self) -> None:
         """Prepare to tell whether the server reads the next request at all."""
         self._acked_bytes = read_acked_bytes(self.raw)
@@ -173,11 +171,13 @@
             self.is_closed_by_server = True
 
     async def _send_in_pieces(self, buffer: bytes) -> None:
-        self.raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_PIECE_BYTES)
+        set_option(self.raw, socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_PIECE_BYTES)
         pieces = memoryview(buffer)
         for start in range(0, len(buffer), SEND_PIECE_BYTES):
             # Another piece would meet a reset, which hides the end of the stream.
-            if self.is_closed_by_server or (start and is_closed_by_peer(self.raw)):
+            if self.is_closed_by_server or not is_open(self.raw):
+                return
+            if start and is_closed_by_peer(self.raw):
                 return
             started_at_ms = monotonic_ms()
             await self._send_or_note_close(pieces[start : start + SEND_PIECE_BYTES])
@@ -191,7 +191,7 @@
     def get_extra_info(self, info: str):
         """Return whether the socket is readable; httpcore detects closing by this."""
         if info == "is_readable":
-            return is_readable(self.raw)
+            return not is_open(self.raw) or is_readable(self.raw)
         return None
 
 
--- a/src/cinderway/entry/servers/_socket_state.py
+++ b/src/cinderway/entry/servers/_socket_state.py
@@ -10,6 +10,7 @@
 import anyio
 
 from cinderway._clock import monotonic_ms
+from cinderway._raw_socket import CONNECTION_GONE
 
 # `tcpi_state` is the first byte of the structure. A socket that was reset is in the
 # state TCP_CLOSE.
@@ -33,7 +34,7 @@
     return bool(poll.poll(0))
 
 
-def read_acked_bytes(raw: socket.socket) -> int | None:
+def read_acked_bytes(raw: socket.socket | None) -> int | None:
     """Return how many of the bytes that were sent the peer's kernel acknowledged.
 
     None if the kernel does not say.
@@ -42,7 +43,9 @@
     return info[1] if info is not None and info[1] else None
 
 
-async def was_closed_unread(raw: socket.socket, acked_before: int | None) -> bool:
+async def was_closed_unread(
+    raw: socket.socket | None, acked_before: int | None
+) -> bool:
     """Whether the peer closed a connection before it received any of a request.
 
     To be called after the end of the stream was read. `acked_before` was read before
@@ -66,11 +69,11 @@
         await anyio.sleep(RESET_POLL_S)
 
 
-def _read_info(raw: socket.socket) -> tuple[int, int] | None:
+def _read_info(raw: socket.socket | None) -> tuple[int, int] | None:
     """Return the connection's state and the acknowledged bytes; None if unknown."""
     try:
         info = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, INFO_BYTES)
-    except (AttributeError, OSError):
+    except CONNECTION_GONE:
         return None
     if len(info) < INFO_BYTES:
         return None
--- a/src/cinderway/wire/_connection.py
+++ b/src/cinderway/wire/_connection.py
@@ -10,6 +10,7 @@
 from anyio.abc import SocketStream
 
 from cinderway._errors import CinderwayError, ErrorCode, Step
+from cinderway._raw_socket import find_raw_socket, set_option
 from cinderway.wire._codec import Conversation, Envelope, Message
 
 LENGTH_BYTES = 4
@@ -76,10 +77,8 @@
 
 def set_unacknowledged_timeout(stream: SocketStream) -> None:
     """Make a connection fail if sent data stays unacknowledged for too long."""
-    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    raw.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
-    )
+    raw, level = find_raw_socket(stream), socket.IPPROTO_TCP
+    set_option(raw, level, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
 
 
 class Connection:
@@ -116,8 +115,8 @@
 
     def limit_send_buffer(self, size_bytes: int) -> None:
         """Limit how much of what is sent may wait in front of other connections."""
-        raw = self._frames.stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size_bytes)
+        raw = find_raw_socket(self._frames.stream)
+        set_option(raw, socket.SOL_SOCKET, socket.SO_SNDBUF, size_bytes)
 
     async def aclose(self) -> None:
         """Close the connection without waiting for the peer."""
--- a/tests/entry/servers/test_backends.py
+++ b/tests/entry/servers/test_backends.py
@@ -60,10 +60,11 @@
                     return
 
 
-def ask(server, *attempts, pause_s=0.0, objections=()):
+def ask(server, *attempts, pause_s=0.0, objections=(), between=None, uvloop=False):
     """Send attempts one after the other; return (status, body) or the error of each.
 
     `objections` maps attempts to the errors that are raised before they are written.
+    `between` is awaited with the connections after each attempt.
     """
 
     async def run():
@@ -77,6 +78,8 @@
                 results.append(
                     await send_attempt(connections, f"127.0.0.1:{port}", attempt)
                 )
+                if between is not None:
+                    await between(connections)
                 await anyio.sleep(pause_s)
             tasks.cancel_scope.cancel()
         return results
@@ -100,7 +103,42 @@
             return error
         return response.status, body
 
-    return anyio.run(run)
+    return anyio.run(run, backend_options={"use_uvloop": uvloop})
+
+
+async def abort_idle(connections):
+    """Close idle connections as the event loop does when it notices a reset."""
+    for idle in connections.idle._idle.values():
+        for each in idle:
+            each.connection.stream._stream._transport.abort()
+    await anyio.sleep(0.02)
+
+
+class ResetTests(unittest.TestCase):
+    """A whole answer that is followed by a reset leaves its connection among the idle.
+
+    Every request that was to take it got a 500 of the entry's own, for 30 s, and the
+    sweep that would have removed it failed.
+    """
+
+    def check(self, between):
+        for uvloop in (False, True):
+            with self.subTest(uvloop=uvloop):
+                server = Server(answer(), answer(attempt="a2"), b"")
+                results = ask(server, "a1", "a2", between=between, uvloop=uvloop)
+                self.assertEqual(results, [(200, b"body"), (200, b"body")])
+                self.assertEqual(server.connections, 2)
+
+    def test_a_request_goes_to_a_new_connection(self):
+        self.check(abort_idle)
+
+    def test_the_sweep_removes_it(self):
+        async def sweep(connections):
+            await abort_idle(connections)
+            connections.idle.sweep(monotonic_ms())
+            self.assertEqual(list(connections.idle._idle), [])
+
+        self.check(sweep)
 
 
 class ObjectionTests(unittest.TestCase):
