entry: count the errors that callers get as a 500 of the entry's own

Beside the traceback that is logged, unexpected_errors_total counts by the error's type. An error in a task group counts as the first one that it holds.

--- a/src/cinderway/entry/callers/_route_handler.py
+++ b/src/cinderway/entry/callers/_route_handler.py
@@ -121,8 +121,10 @@
         except CinderwayError as error:
             record.error = error = self._replace_if_outdated(error)
             await self._refuse(reply, error, Resolution.NOT_RUN)
-        except Exception:
+        except Exception as error:
             logger.exception("a request failed with an unexpected error")
+            labels = {"error": _find_cause(error)}
+            self.metrics.count("unexpected_errors_total", labels)
             raise
         finally:
             board.in_flight -= 1
@@ -397,6 +399,13 @@
         logger.info("%s%s", line, f"; {record.error}" if record.error else "")
 
 
+def _find_cause(error: BaseException) -> str:
+    """Return the type's name of an error, or of the first one in a group."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return type(error).__name__
+
+
 def _received_at_ms(scope: dict) -> int:
     """Return when the request's head arrived; it may have waited behind others."""
     return scope.get("state", {}).get(RECEIVED_AT) or monotonic_ms()
--- a/tests/entry/callers/test_route_handler.py
+++ b/tests/entry/callers/test_route_handler.py
@@ -169,6 +169,19 @@
                     )
                     self.assertEqual(self.attempts.requests, [])
 
+    def test_an_unexpected_error_is_counted_with_its_cause(self):
+        """A 500 of the entry's own must not be taken for a server's."""
+
+        async def fail(service, request, is_repeatable):
+            raise RuntimeError("unexpected")
+
+        self.install(1)
+        self.attempts.fetch_answer = fail
+        with self.assertLogs(level="ERROR"), self.assertRaises(BaseExceptionGroup):
+            anyio.run(self.serve, Caller(4_000))
+        counter = self.handler.metrics._counters["unexpected_errors_total"]
+        self.assertEqual(counter.get({"error": "RuntimeError"}), 1)
+
     async def serve(self, caller):
         await self.handler(caller.scope, caller.receive, caller.send)
         return caller.statuses
