--- a/tests/replication/test_losses.py
+++ b/tests/replication/test_losses.py
@@ -103,3 +103,18 @@
         """The silent one is removed as if it were the one that is gone."""
         seeds = (30088, 30132, 30141)
         self.check(Setup(5, 2, TIMING), seeds, scope=Scope.OVERLAPPING)
+
+    def test_a_machine_that_goes_without_notice_just_before_disks_are_lost(self):
+        """Nobody can know yet that it went, and a silent one has lost its vote."""
+        seeds = (30309, 90278, 110015, 110193, 110585, 110769, 110844, 110980)
+        self.check(Setup(5, 2, TIMING), seeds, scope=Scope.OVERLAPPING)
+        kinds = (Kind.REPLACE_PLANNED, Kind.KILL, Kind.LOSE_DISK)
+        self.check(Setup(5, 2, TIMING), (5070,), scope=Scope.OVERLAPPING, kinds=kinds)
+        self.check(
+            Setup(7, 3, TIMING), (20187,), catch_up_ms=6_000, scope=Scope.OVERLAPPING
+        )
+
+    def test_three_machines_a_silent_one_beside_a_replaced_one_and_a_lost_disk(self):
+        """One of three voters is left, as the silent one has lost its vote."""
+        seeds = (20134, 20351, 20477)
+        self.check(Setup(3, 1, TIMING), seeds, scope=Scope.OVERLAPPING)
