--- a/tests/entry/fleet/_modelled_control.py
+++ b/tests/entry/fleet/_modelled_control.py
@@ -47,7 +47,9 @@
             has_caught_up=True,
             leader_heard_at_ms=0,
             replica_id=ReplicaId(1),
-            membership=SimpleNamespace(voters={ReplicaId(1)}, members={}),
+            membership=SimpleNamespace(
+                voters={ReplicaId(1)}, members={}, counts_all_proofs=False
+            ),
         )
         self.leader_address = None
         self.has_caught_up = True
