--- a/tests/system/test_requests.py
+++ b/tests/system/test_requests.py
@@ -93,7 +93,8 @@
             self.fleet.kill(f"ledger-{address}")
             self.fleet.wait_for_exit(f"ledger-{address}")
             key = f"kill-{number}"
-            self.assertEqual(self.post(self.fleet.entries[number], key)[0], 200)
+            status, _, answer = self.post(self.fleet.entries[number], key)
+            self.assertEqual(status, 200, answer)
             self.assertEqual(self.count_runs(key), 1)
             self.fleet.start_replica("ledger", address)
             # With two of three replicas down the request would be refused, correctly.
